--- a/pierdrift/__init__.py
+++ b/larchhall/__init__.py
@@ -1,4 +1,4 @@
-"""pierdrift: admission decisions for queries on a pool of engines."""
+"""larchhall: admission decisions for queries on a pool of engines."""
 
 from .brain import AdmissionController
 from .interface import Settings
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from pierdrift import interface as api
-from pierdrift.brain import AdmissionController
+from larchhall import interface as api
+from larchhall.brain import AdmissionController
 
 MS = 1_000_000
 S = 1_000 * MS
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from pierdrift.benchlink import parse_settings
+from larchhall.benchlink import parse_settings
 
 ROOT = Path(__file__).parent.parent
 MS = 1_000_000
@@ -35,7 +35,7 @@
 
 
 def run(text: str, hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "pierdrift.benchlink"], input=text, text=True, cwd=ROOT,
+    return subprocess.run([sys.executable, "-m", "larchhall.benchlink"], input=text, text=True, cwd=ROOT,
                           capture_output=True, env={**os.environ, "PYTHONHASHSEED": hash_seed}, check=False)
 
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from pierdrift import interface as api
+from larchhall import interface as api
 
 from .helpers import MS, Harness, S, entry, make_settings, query_class
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from pierdrift import interface as api
-from pierdrift.books import memberships
-from pierdrift.brain import CEILING, REACH, fuzzy_step, rule
+from larchhall import interface as api
+from larchhall.books import memberships
+from larchhall.brain import CEILING, REACH, fuzzy_step, rule
 
 from .helpers import MS, Harness, S, entry, make_settings, query_class
 
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from pierdrift import interface as api
+from larchhall import interface as api
 
 from .helpers import MS, Harness, S, entry, make_settings, query_class
 
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from pierdrift import interface as api
+from larchhall import interface as api
 
 from .helpers import MS, Harness, S, entry, make_settings, query_class
 
