Fix the bus: nothing was ever written to it, uvloop's transports are not asyncio's

At fault: feed.py, isinstance(transport, asyncio.WriteTransport) is false for uvloop's transports, so 'from N' and abort were skipped. Test: test_sockets_bus on uvloop, as in service.

--- a/larchhall/wire/feed.py
+++ b/larchhall/wire/feed.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from functools import partial
+from typing import cast
 
 from . import bus
 
@@ -17,12 +18,12 @@
     def __init__(self, feed: Feed) -> None:
         self.feed = feed
         self.parser = bus.LineParser()
-        self.transport: asyncio.BaseTransport | None = None
+        self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = transport
-        if isinstance(transport, asyncio.WriteTransport):
-            transport.write(b"from %d\n" % self.feed.last)
+        # Danger: uvloop's transports are no subclass of asyncio's; a test by isinstance drops every write.
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.write(b"from %d\n" % self.feed.last)
 
     def data_received(self, data: bytes) -> None:
         self.feed.heard = self.feed.now()
@@ -41,7 +42,7 @@
         self.feed.lost(self)
 
     def drop(self) -> None:
-        if isinstance(self.transport, asyncio.WriteTransport):
+        if self.transport is not None:
             self.transport.abort()
 
 
