--- a/larchhall/wire/feed.py
+++ b/larchhall/wire/feed.py
@@ -31,7 +31,7 @@
             for line in self.parser.feed(data):
                 self.feed.line(line)
         except bus.BadLine as error:
-            self.feed.bad(str(error))
+            self.feed.log("bus", str(error))
             self.drop()
         except Exception as error:  # no input may raise out of a callback
             self.feed.log("bus", f"{type(error).__name__}: {error}")
@@ -105,6 +105,7 @@
             event = bus.parse_line(line)
         except bus.BadLine as error:
             if self.bad_at != self.last:
+                self.bad_at = self.last
                 raise  # perhaps spoilt on its way: connect anew and ask for it again
             self.log("bus", f"read past a line after event {self.last}: {error}")
             return
@@ -117,7 +118,3 @@
         if not isinstance(event, int) and offset > self.last:
             self.last = offset
             self.take(event)
-
-    def bad(self, why: str) -> None:
-        self.log("bus", why)
-        self.bad_at = self.last
