--- a/larchhall/config.py
+++ b/larchhall/config.py
@@ -24,6 +24,12 @@
 DEFAULT_STREAMS = 32
 LEAST_SOCKETS = 64
 MISSING = object()
+# Where the module's checks speak of its own names: the key that the operator wrote.
+THEIR_KEYS = {
+    "contract.cold_from": "contract.start_capacity", "contract.order_settle": "contract.key_rest",
+    "contract.budget_window": "contract.ratio_span", "limits.max_attempts": "policy_limits.send_cap",
+    "classes.threads": "specifics.parallelism", "tenants.quota_per_s": "tenants.allowance_per_s",
+    "kind_cores": "specifics.size_cores"}
 
 
 class ConfigError(ValueError):
@@ -95,7 +101,17 @@
 
 
 def parse_settings(facts: Mapping[str, Any]) -> api.Settings:
-    """The start settings; ValueError names the key that is missing or impossible."""
+    """The start settings; ConfigError names the key that is missing or impossible."""
+    try:
+        return _settings(facts)
+    except ConfigError:
+        raise
+    except ValueError as error:
+        key, colon, problem = str(error).partition(":")
+        raise ConfigError(THEIR_KEYS.get(key, key) + colon + problem) from None
+
+
+def _settings(facts: Mapping[str, Any]) -> api.Settings:
     special, limits, contract, charges = (
         get(facts, key, "object", {}) for key in ("specifics", "policy_limits", "contract", "charges"))
     classes = get(facts, "classes", "list")
--- a/larchhall/state/requests.py
+++ b/larchhall/state/requests.py
@@ -51,3 +51,7 @@
     pages: list[bytes | None] = field(default_factory=list)
     missing: int = 0
     answered: int = 0      # when page 0 came
+
+    def wanted(self) -> bool:
+        """Somebody still waits for its result."""
+        return not self.reported and self.request.client is not None
--- a/larchhall/wire/engine.py
+++ b/larchhall/wire/engine.py
@@ -142,7 +142,7 @@
         chunks = _count(fields.get("chunks", "1"), "chunks")
         if attempt is None or attempt.pages:
             return  # a second answer
-        if attempt.reported:
+        if not attempt.wanted():
             # Answered elsewhere, timed out, or the client left: the pages behind this one are not wanted.
             if chunks > 1:
                 self._write(self.heard, b"forget", tag)
@@ -165,7 +165,7 @@
             if attempt is not None and not attempt.reported:
                 raise resp.BadAnswer(f"page {at} was not asked for")
             return
-        if attempt.reported:
+        if not attempt.wanted():
             self._write(self.heard, b"forget", tag)
             self._over(tag, attempt, Result.SERVED, meter)
             return
--- /dev/null
+++ b/tests/test_lifecycle.py
@@ -0,0 +1,122 @@
+"""Start and stop of the real program."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from larchhall.lifecycle.drain import Drain
+from larchhall.wire import frames
+
+from .sockets import Client, Engine, event, make_config, on_uvloop, running, settings, target, until, within
+
+ROOT = Path(__file__).parent.parent
+
+
+def write_config(folder: Path, **changes: Any) -> dict[str, str]:
+    raw = {"name": "n0", "listen": "127.0.0.1:1", "seed": "8c1f", "known": {"offset": 0, "batch": []},
+           "settings": settings(), **changes}
+    path = folder / "config.json"
+    path.write_text(json.dumps(raw))
+    return {**os.environ, "PROXY_CONFIG": str(path)}
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+@pytest.mark.parametrize(("changes", "key"), [
+    ({"listen": "nowhere"}, "listen"), ({"seed": "xyz"}, "seed"), ({"settings": {}}, "settings.classes"),
+    ({"settings": settings(tick=0)}, "settings.tick"), ({"bus": "b"}, "bus"),
+    ({"limits": {"sockets": "many"}}, "limits.sockets")])
+def test_bad_configuration_is_one_line_that_names_the_key(tmp_path: Path, changes: Any, key: str) -> None:
+    done = subprocess.run([sys.executable, "-m", "larchhall", "serve"], env=write_config(tmp_path, **changes),
+                          cwd=ROOT, capture_output=True, text=True, check=False)
+    assert done.returncode == 2
+    assert done.stderr.startswith(f"larchhall: {key}: ") and done.stderr.count("\n") == 1
+
+
+@on_uvloop
+async def test_sigterm_serves_on_then_leaves_off_and_ends_with_0(tmp_path: Path) -> None:
+    engine = Engine(lambda *_: None)
+    port = free_port()
+    known = make_known(target("s-1", await engine.start()))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "larchhall", "serve", cwd=ROOT,
+        env=write_config(tmp_path, listen=f"127.0.0.1:{port}", known=known))
+    try:
+        first = await connect(port)
+        first.ask(stream=1, trace="1" * 16)
+        await until(lambda: len(engine.words(b"do")) == 1)
+        process.send_signal(signal.SIGTERM)
+        second = await connect(port)  # connections and requests are still taken, and it is ready
+        second.send(frames.ASK_READY, 0, b"\0")
+        assert await second.frame() == (frames.READY, 0, b"\0\0")
+        second.ask(stream=1, trace="2" * 16)
+        await until(lambda: len(engine.words(b"do")) == 2)
+        assert await second.frame() == (frames.NO_MORE, 0, b"")
+        assert await first.frame() == (frames.NO_MORE, 0, b"")
+        second.send(frames.ASK_READY, 0, b"\0")
+        assert await second.frame() == (frames.READY, 0, b"\x01\0")
+        for do in engine.words(b"do"):
+            engine.serve(do, engine.writers[0])
+        assert (await first.answer())[1] == (await second.answer())[1] == frames.SERVED
+        assert await within(process.wait()) == 0
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
+def make_known(*targets: dict[str, Any]) -> dict[str, Any]:
+    return {"offset": 1, "batch": [event(1, *targets, full=True)]}
+
+
+async def connect(port: int) -> Client:
+    while True:
+        try:
+            return Client(*await asyncio.open_connection("127.0.0.1", port))
+        except ConnectionRefusedError:
+            await asyncio.sleep(0.02)
+
+
+@on_uvloop
+async def test_what_is_open_at_the_end_of_the_drain_is_closed_out_by_the_rules() -> None:
+    engine = Engine(lambda *_: None)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client = await rig.client()
+        client.ask(stream=1, route="till-load", patience="20000", trace="1" * 16)
+        client.ask(stream=2, trace="2" * 16)
+        await until(lambda: len(engine.words(b"do")) == 2)
+        drain = Drain(rig.node)
+        drain.loop = asyncio.get_running_loop()
+        drain._look(drain.last)
+        answers = dict([(await client.answer())[:2], (await client.answer())[:2]])
+        assert answers == {1: frames.FAILED, 2: frames.REFUSED}
+        await within(rig.node.stopped.wait())
+
+
+@on_uvloop
+async def test_an_address_is_had_again_at_once_and_loss_of_a_client_leaves_no_trace() -> None:
+    engine = Engine()
+    config = make_config(target("s-1", await engine.start()))
+    async with running(config) as rig:
+        port = rig.port
+        client = await rig.client()
+        client.ask()
+        await client.answer()
+        assert client.writer.get_extra_info("peername")[1] == port
+        client.writer.close()
+        await until(lambda: not rig.node.clients)
+        assert not rig.node.broker.requests and not rig.node.broker.facade.sends
--- /dev/null
+++ b/tests/test_middle.py
@@ -0,0 +1,91 @@
+"""The wheel, the engine table, the log and the facade, without sockets."""
+
+from __future__ import annotations
+
+import pytest
+
+from larchhall import facade as f
+from larchhall.interface import Effect, EngineState, Result
+from larchhall.lifecycle import log
+from larchhall.state.engines import EngineTable
+from larchhall.state.wheel import Wheel
+from larchhall.wire.bus import parse_event
+
+from .helpers import MS, S, make_settings, query_class
+from .sockets import event, target
+
+
+@pytest.mark.parametrize("after", [0, 1, 5 * MS, 5 * MS + 1, 12 * S])
+def test_a_timer_fires_once_never_early_and_at_most_a_tick_late(after: int) -> None:
+    wheel, fired, now = Wheel(5 * MS, 100), [], 100
+    wheel.at(100 + after, lambda: fired.append(now))
+    while now < 100 + after + 20 * MS:
+        now += MS
+        wheel.advance(now)
+    assert len(fired) == 1
+    assert 100 + after <= fired[0] <= 100 + max(after, 1) + 6 * MS
+
+
+def test_a_wheel_that_stood_still_fires_all_in_order_and_no_cancelled_one() -> None:
+    wheel, fired = Wheel(5 * MS, 0), []
+    for at in (7 * S, 30 * MS, 10 * MS):
+        wheel.at(at, lambda at=at: fired.append(at))  # type: ignore[misc]
+    wheel.at(20 * MS, lambda: fired.append(-1)).cancel()
+    wheel.at(15 * MS, lambda: fired.append(0) or wheel.at(0, lambda: fired.append(1)) and None)  # type: ignore
+    wheel.advance(8 * S)
+    assert fired == [10 * MS, 0, 1, 30 * MS, 7 * S]
+
+
+def test_uids_keep_their_numbers_whatever_their_addresses() -> None:
+    table, other = EngineTable(), EngineTable()
+    first = table.learn(parse_event(event(1, target("a", 1), target("b", 2), full=True)))
+    other.learn(parse_event(event(1, target("b", 2), full=True)))
+    assert other.number("b") == first[1].engine  # all brokers rank engines alike
+    moved = table.learn(parse_event(event(2, target("c", 1, boot_ms=9), target("b", 3))))
+    assert [(e.engine, e.state) for e in moved] == [
+        (first[0].engine, EngineState.GONE), (table.number("c"), EngineState.READY),
+        (first[1].engine, EngineState.READY)]
+    assert moved[1].started == 9 * MS
+    again = table.learn(parse_event(event(3, target("a", 4), full=True)))
+    assert [e.engine for e in again] == [first[0].engine]
+    assert table.by_uid["b"].target.state is EngineState.GONE
+
+
+def test_the_facade_says_what_to_do_and_fires_timers_by_tick() -> None:
+    wheel = Wheel(5 * MS, 0)
+    unsafe = query_class("load", effect=Effect.UNSAFE, deadline=2 * S)
+    settings = make_settings(query_class(), unsafe, grants_heeded=True, priorities_heeded=True)
+    facade = f.Facade(settings, 7, 0, wheel)
+    facade.report(0, f.EngineNews(True, (f.EngineEntry(9, EngineState.READY, "a", "box"),)))
+    ask = f.Query("1", "load", 2 * S, None, 50 * MS, 64.0, 3, False)
+    orders = facade.pick(0, ask)
+    assert [(s.request, s.attempt, s.engine) for s in orders.sends] == [("1", 0, 9)]
+    assert [(r, m) for r, _, m in orders.terms] == [("1", 128.0)]
+    assert facade.tick(S).verdicts == []  # nothing is due before the wheel says so
+    wheel.advance(2 * S)
+    assert facade.tick(2 * S).verdicts == [f.Verdict("1", False, 0)]  # it may have run: failed, not refused
+    late = facade.report(2 * S, f.Ended("1", 0, 9, Result.SERVED, 2 * S, True))
+    assert not late.sends and not late.verdicts
+
+
+def test_closing_refuses_what_never_ran_and_fails_what_may_have() -> None:
+    facade = f.Facade(make_settings(query_class(effect=Effect.UNSAFE)), 7, 0, Wheel(5 * MS, 0))
+    facade.report(0, f.EngineNews(True, (f.EngineEntry(9, EngineState.READY, "a", "box"),)))
+    facade.pick(0, f.Query("1", "short", 5 * S, None, 0, 0.0, -1, False))
+    assert facade.report(1, f.Closing()).verdicts == [f.Verdict("1", False, 0)]
+    assert facade.report(2, f.Closing()).verdicts == []
+
+
+def test_the_log_is_limited_by_kind(capsys: pytest.CaptureFixture[str],
+                                    monkeypatch: pytest.MonkeyPatch) -> None:
+    now = 50.0
+    monkeypatch.setattr("larchhall.lifecycle.log.time.monotonic", lambda: now)
+    write = log.Log("n0")
+    for _ in range(log.MOST + 30):
+        write("client", "odd")
+    write("engine", "other")
+    now += log.SPAN
+    write("client", "again")
+    lines = capsys.readouterr().err.splitlines()
+    assert sum("odd" in line for line in lines) == log.MOST
+    assert any("30 more lines" in line for line in lines) and sum("other" in line for line in lines) == 1
--- /dev/null
+++ b/tests/test_sockets_client.py
@@ -0,0 +1,164 @@
+"""Clients on real sockets: one test for each rule."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from larchhall.wire import frames, resp
+
+from .sockets import MS, STATEMENT, TRACE, Engine, make_config, on_uvloop, running, settings, target, until
+
+
+def pages(*bodies: bytes, say: int = 0) -> Engine:
+    """An engine that serves a result in pages and knows no page without a body."""
+    def script(engine: Engine, parts: list[bytes], writer: asyncio.StreamWriter) -> None:
+        if parts[0] == b"do":
+            writer.write(resp.encode(parts[1], b"served", b"chunks=%d" % (say or len(bodies)), bodies[0]))
+        elif parts[0] == b"page" and int(parts[2]) < len(bodies):
+            writer.write(resp.encode(parts[1], b"rows", b"at=" + parts[2], bodies[int(parts[2])]))
+        elif parts[0] == b"page":
+            writer.write(resp.encode(parts[1], b"crashed", b"-", b""))
+    return Engine(script)
+
+
+@on_uvloop
+async def test_a_result_in_pages_is_one_whole_answer_in_order() -> None:
+    engine = pages(b"1\ta\tb\n", b"2\ta\tb\n", b"3\ta\tb\n")
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client = await rig.client()
+        client.ask(stream=5)
+        assert await client.answer() == (5, frames.SERVED, {}, b"1\ta\tb\n2\ta\tb\n3\ta\tb\n")
+        await until(lambda: engine.words(b"forget"))
+        do = engine.words(b"do")[0]
+        fields = resp.read_pairs(do[2])
+        assert (do[1], do[3]) == (TRACE.encode(), b"SELECT 1 FROM sales_17.orders")
+        assert fields["cls"] == "lookup" and 3_000 < int(fields["limit"]) <= 4_000
+        assert fields["reserve"] == "32" and 0 <= int(fields["level"]) <= 3
+
+
+@on_uvloop
+async def test_a_lost_page_is_no_short_result_and_a_load_with_it_has_failed() -> None:
+    engine = pages(b"1\ta\tb\n", say=2)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client = await rig.client()
+        client.ask(route="till-load")
+        assert (await client.answer())[1] == frames.FAILED
+        assert len(engine.words(b"do")) == 1
+
+
+@pytest.mark.parametrize("data", [
+    b"\0\0\0\x04", b"\0\0\0\x05\x03\0\0\0\x01", b"\xff\xff\xff\xff",
+    frames.frame(frames.REQUEST, 1, b"\x01\x05r"), frames.frame(frames.REQUEST, 0, b"\0"),
+    frames.frame(frames.ASK_READY, 1, b"")])
+@on_uvloop
+async def test_a_broken_frame_gets_an_error_on_stream_0_and_the_connection_closes(data: bytes) -> None:
+    engine = Engine(lambda *_: None)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client = await rig.client()
+        client.writer.write(data)
+        stream, code, _, _ = await client.answer()
+        assert (stream, code) == (0, frames.FAILED)
+        assert await client.ended()
+        assert not engine.seen and not rig.node.broker.requests
+
+
+@on_uvloop
+async def test_a_reused_stream_breaks_the_connection() -> None:
+    async with running(make_config()) as rig:
+        client = await rig.client()
+        client.ask(stream=2)
+        client.ask(stream=2)
+        assert (await client.answer())[:2] == (2, frames.REFUSED)
+        assert (await client.answer())[0] == 0
+        assert await client.ended()
+
+
+@on_uvloop
+async def test_an_unusable_request_gets_one_failed_answer_and_the_connection_goes_on() -> None:
+    engine = Engine()
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client = await rig.client()
+        bad: list[dict[str, str | None]] = [
+            {"route": "upload"}, {"patience": "0"}, {"patience": None}, {"trace": "9b"}, {"customer": "x"}]
+        for stream, changes in enumerate(bad, 1):
+            client.ask(stream, STATEMENT, **changes)
+            assert (await client.answer())[:2] == (stream, frames.FAILED)
+        assert not engine.seen
+        client.ask(stream=9)
+        assert (await client.answer())[:2] == (9, frames.SERVED)
+
+
+@on_uvloop
+async def test_with_no_engine_the_refusal_comes_at_once_and_carries_a_pause() -> None:
+    async with running(make_config()) as rig:
+        client = await rig.client()
+        client.ask(route="till-load", patience="20000")
+        stream, code, fields, body = await client.answer()
+        assert (stream, code, body) == (1, frames.REFUSED, b"") and int(fields["pause"]) > 0
+
+
+@on_uvloop
+async def test_what_nobody_waits_for_is_not_answered_and_its_pages_are_not_fetched() -> None:
+    engine = Engine(lambda *_: None)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client, other = await rig.client(), await rig.client()
+        client.ask(stream=1, weight="900.0")  # so long that no second copy goes out meanwhile
+        other.ask(stream=1, weight="900.0", trace="0" * 16)
+        await until(lambda: len(engine.words(b"do")) == 2)
+        client.send(frames.ABANDON, 1)
+        other.writer.close()
+        await until(lambda: not any(r.client for r in rig.node.broker.requests.values()))
+        for do in engine.words(b"do"):
+            engine.writers[0].write(resp.encode(do[1], b"served", b"chunks=3", b"1\ta\tb\n"))
+        await until(lambda: len(engine.words(b"forget")) == 2)
+        assert not engine.words(b"page") and not engine.words(b"undo") and not rig.node.broker.requests
+        client.send(frames.ASK_READY, 0, b"\0")
+        assert await client.frame() == (frames.READY, 0, b"\0\0")  # the next frame: no answer went before it
+
+
+@on_uvloop
+async def test_the_final_answer_comes_before_the_patience_ends() -> None:
+    engine = Engine(lambda *_: None)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client = await rig.client()
+        loop = asyncio.get_running_loop()
+        sent = loop.time()
+        client.ask(patience="300")
+        assert (await client.answer())[1] == frames.REFUSED
+        assert 0.25 < loop.time() - sent
+        assert rig.node.broker.config.settings.tick == 5 * MS
+
+
+@on_uvloop
+async def test_a_slow_reader_is_not_read_from_and_holds_up_nobody_else() -> None:
+    row = b"x" * 5_900 + b"\tb\tc\n"
+    engine = pages(*[row] * 8)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        slow, quick = await rig.client(), await rig.client()
+        transport = slow.writer.transport
+        transport.pause_reading()  # type: ignore[attr-defined]
+        stream = 0
+        while not any(c.paused_at for c in rig.node.clients):
+            stream += 1
+            slow.ask(stream=stream, trace=f"{stream:016x}")
+            await until(lambda: len(engine.words(b"forget")) == stream)  # noqa: B023
+        quick.ask()
+        assert (await quick.answer())[3] == row * 8
+        transport.resume_reading()  # type: ignore[attr-defined]
+        for _ in range(stream):
+            assert (await slow.answer())[3] == row * 8
+        assert not any(c.paused_at for c in rig.node.clients)
+
+
+@on_uvloop
+async def test_more_than_32_open_requests_fail_alone() -> None:
+    engine = Engine(lambda *_: None)
+    config = make_config(target("s-1", await engine.start()), **settings(fleet_size=1))
+    async with running(config) as rig:
+        client = await rig.client()
+        for stream in range(1, 34):
+            client.ask(stream=stream, trace=f"{stream:016x}", weight="1.0")
+        assert (await client.answer())[:2] == (33, frames.FAILED)
+        assert len(rig.node.broker.requests) == 32
--- /dev/null
+++ b/tests/test_sockets_engine.py
@@ -0,0 +1,195 @@
+"""Data engines on real sockets: one test for each rule."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from larchhall.state import pools
+from larchhall.wire import frames, resp
+
+from .sockets import TRACE, Engine, event, make_config, on_uvloop, running, target, until
+
+
+def closed_port() -> int:
+    """A port that refuses: bound, never listened on."""
+    holder = socket.socket()
+    holder.bind(("127.0.0.1", 0))
+    HELD.append(holder)
+    return int(holder.getsockname()[1])
+
+
+HELD: list[socket.socket] = []
+
+
+def always(word: bytes, body: bytes = b"") -> Engine:
+    def script(engine: Engine, parts: list[bytes], writer: asyncio.StreamWriter) -> None:
+        if parts[0] == b"do":
+            writer.write(resp.encode(parts[1], word, b"-", body))
+    return Engine(script)
+
+
+def rude(data: bytes) -> Engine:
+    """Answers every request with these bytes and closes."""
+    def script(engine: Engine, parts: list[bytes], writer: asyncio.StreamWriter) -> None:
+        writer.write(data)
+        writer.close()
+    return Engine(script)
+
+
+@on_uvloop
+async def test_a_refused_connect_never_ran_so_even_a_load_is_refused() -> None:
+    async with running(make_config(target("s-1", closed_port()))) as rig:
+        client = await rig.client()
+        client.ask(route="till-load", patience="20000")
+        assert (await client.answer())[1] == frames.REFUSED
+
+
+@on_uvloop
+async def test_a_refused_connect_goes_on_to_another_engine() -> None:
+    good = Engine()
+    config = make_config(target("s-1", await good.start()), target("s-2", closed_port()))
+    async with running(config) as rig:
+        client = await rig.client()
+        for stream in range(1, 9):
+            client.ask(stream=stream, route="till-load", patience="20000", trace=f"{stream:016x}")
+            assert (await client.answer())[:2] == (stream, frames.SERVED)
+
+
+@on_uvloop
+async def test_overload_and_nobody_never_ran() -> None:
+    for word in (b"overload", b"nobody"):
+        engine = always(word)
+        async with running(make_config(target("s-1", await engine.start()))) as rig:
+            client = await rig.client()
+            client.ask(route="till-load", patience="20000")
+            assert (await client.answer())[1] == frames.REFUSED, word
+
+
+@on_uvloop
+async def test_what_may_have_run_is_a_failed_load_and_never_sent_twice() -> None:
+    cases = [always(b"crashed"), rude(b""), rude(b"-ERR\r\n"), always(b"what"),
+             rude(resp.encode(TRACE.encode(), b"served", b"chunks=x", b""))]
+    for engine in cases:
+        other = Engine()
+        async with running(make_config(target("s-1", await engine.start()))) as rig:
+            client = await rig.client()
+            client.ask(route="till-load", patience="20000")
+            assert (await client.answer())[1] == frames.FAILED
+            assert len(engine.words(b"do")) == 1 and not other.seen
+
+
+@on_uvloop
+async def test_a_lookup_that_met_a_reset_is_served_by_another_engine() -> None:
+    bad, good = rude(b""), Engine()
+    config = make_config(target("s-1", await bad.start()), target("s-2", await good.start()))
+    async with running(config) as rig:
+        client = await rig.client()
+        for stream in range(1, 9):
+            client.ask(stream=stream, trace=f"{stream:016x}")
+            assert (await client.answer())[:2] == (stream, frames.SERVED)
+
+
+@on_uvloop
+async def test_a_second_answer_is_dropped() -> None:
+    def script(engine: Engine, parts: list[bytes], writer: asyncio.StreamWriter) -> None:
+        if parts[0] == b"do":
+            writer.write(resp.encode(parts[1], b"served", b"chunks=1", b"1\ta\tb\n") * 2)
+    engine = Engine(script)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client = await rig.client()
+        for stream in (1, 2):
+            client.ask(stream=stream, trace=f"{stream:016x}")
+            assert (await client.answer())[:2] == (stream, frames.SERVED)
+        assert len(engine.writers) == 1
+
+
+@on_uvloop
+async def test_a_connection_takes_no_more_streams_than_the_settings_allow() -> None:
+    engine = Engine(lambda *_: None)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        clients = [await rig.client(), await rig.client()]
+        for number in range(60):
+            clients[number % 2].ask(stream=number // 2 + 1, trace=f"{number:016x}", weight="1.0")
+        await until(lambda: len(engine.words(b"do")) == 60)
+        open_ = [len(c.open) for p in rig.node.broker.pools.by_number.values() for c in p.connections]
+        assert max(open_) <= 32 and sum(open_) == 60
+
+
+@on_uvloop
+async def test_one_id_is_never_open_twice_on_a_connection() -> None:
+    engine = Engine(lambda *_: None)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client = await rig.client()
+        client.ask(stream=1)
+        await until(lambda: len(engine.words(b"do")) == 1)
+        client.ask(stream=2)  # the same trace
+        await until(lambda: len(engine.words(b"do")) == 2)
+        assert len(engine.writers) == 2
+        engine.writers[1].write(resp.encode(TRACE.encode(), b"served", b"chunks=1", b"2\ta\tb\n"))
+        assert await client.answer() == (2, frames.SERVED, {}, b"2\ta\tb\n")
+
+
+@on_uvloop
+async def test_a_silent_engine_gets_nothing_more_until_a_new_connection_has_come_up() -> None:
+    engine = Engine(lambda *_: None)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client = await rig.client()
+        client.ask(stream=1)
+        await until(lambda: engine.words(b"do"))
+        pool = next(iter(rig.node.broker.pools.by_number.values()))
+        now = rig.node.clock.now()
+        assert pool._usable(now) == pool.connections
+        assert pool._usable(now + 2 * pools.SILENT) == []
+
+
+@on_uvloop
+async def test_idle_connections_are_closed_well_before_the_engine_would() -> None:
+    engine = Engine()
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client = await rig.client()
+        client.ask()
+        await client.answer()
+        node = rig.node
+        pool = next(iter(node.broker.pools.by_number.values()))
+        pool.sweep(node.clock.now())
+        assert [c.closed for c in pool.connections] == [False]
+        pool.sweep(node.clock.now() + node.config.conn_idle * 6 // 10)
+        await until(lambda: not pool.connections)
+
+
+@on_uvloop
+async def test_an_engine_at_the_address_of_another_is_known_by_its_uid() -> None:
+    engine = Engine()
+    port = await engine.start()
+    async with running(make_config(target("s-1", port))) as rig:
+        broker = rig.node.broker
+        first = broker.engines.number("s-1")
+        from larchhall.wire.bus import parse_event
+        broker.news(parse_event(event(2, target("s-2", port, boot_ms=1))))
+        assert broker.engines.number("s-2") != first == broker.engines.number("s-1")
+        client = await rig.client()
+        client.ask(weight="1.0")
+        assert (await client.answer())[1] == frames.SERVED
+        assert list(broker.facade.controller.engines) == [broker.engines.number("s-2")]
+
+
+@on_uvloop
+async def test_draining_engines_get_nothing_new() -> None:
+    engine = Engine()
+    async with running(make_config(target("s-1", await engine.start(), "terminating"))) as rig:
+        client = await rig.client()
+        client.ask()
+        assert (await client.answer())[1] == frames.REFUSED
+        assert not engine.seen
+
+
+@on_uvloop
+async def test_with_no_descriptor_left_a_send_counts_as_never_run() -> None:
+    engine = Engine()
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        rig.node.broker.pools.most = -1
+        client = await rig.client()
+        client.ask(route="till-load", patience="20000")
+        assert (await client.answer())[1] == frames.REFUSED
+        assert not engine.seen
--- /dev/null
+++ b/tests/test_wire_tables.py
@@ -0,0 +1,124 @@
+"""The parsers on tables of cases, each fed whole and byte by byte."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from larchhall.interface import EngineState
+from larchhall.wire import bus, frames, resp
+from larchhall.wire.client import read_ask
+from larchhall.wire.statement import table_group
+
+from .sockets import TRACE, event, target
+
+FIELDS = frames.write_fields({"route": "lookup", "trace": "9b"})
+
+
+def fed(parser: Any, data: bytes, step: int) -> list[Any]:
+    return [item for at in range(0, len(data), step) for item in parser.feed(data[at:at + step])]
+
+
+@pytest.mark.parametrize("step", [1, 3, 1_000])
+@pytest.mark.parametrize("given", [
+    [(frames.REQUEST, 1, FIELDS + b"SELECT 1")],
+    [(frames.ABANDON, 7, b""), (frames.ASK_READY, 9, b"\0"), (frames.REQUEST, 2**32 - 1, b"")],
+])
+def test_frames(given: list[tuple[int, int, bytes]], step: int) -> None:
+    data = b"".join(frames.frame(*one) for one in given)
+    assert fed(frames.FrameParser(), data, step) == given
+
+
+@pytest.mark.parametrize("data", [
+    b"\0\0\0\x04", b"\0\x04\0\x01", b"\xff\xff\xff\xff", b"\0\0\0\x05\x04", b"\0\0\0\x05\0",
+    b"\0\0\0\x05\x20"])
+def test_broken_frames_are_told_before_the_rest_is_there(data: bytes) -> None:
+    with pytest.raises(frames.BadFrame):
+        frames.FrameParser().feed(data)
+
+
+@pytest.mark.parametrize(("payload", "fields", "body"), [
+    (b"\0", {}, b""), (b"\0rest", {}, b"rest"), (FIELDS + b"x", {"route": "lookup", "trace": "9b"}, b"x")])
+def test_fields(payload: bytes, fields: dict[str, str], body: bytes) -> None:
+    assert frames.read_fields(payload) == (fields, body)
+
+
+@pytest.mark.parametrize("payload", [
+    b"", b"\x01", b"\x01\x05ro", b"\x01\x01a\0", b"\x01\x01a\0\x02b", b"\x01\x01\xff\0\0", FIELDS[:-1]])
+def test_unreadable_fields(payload: bytes) -> None:
+    with pytest.raises(frames.BadFrame):
+        frames.read_fields(payload)
+
+
+@pytest.mark.parametrize("changes", [
+    {"route": None}, {"trace": None}, {"trace": "xyz"}, {"trace": TRACE + "0"}, {"patience": None},
+    {"patience": "soon"}, {"patience": "nan"}, {"patience": "-1"}, {"patience": "inf"}, {"weight": "much"},
+    {"weight": "-3"}, {"ram": "1e999"}, {"redo": "yes"}])
+def test_unusable_requests(changes: dict[str, str | None]) -> None:
+    given = {"route": "lookup", "trace": TRACE, "patience": "1500", "weight": "8.5", "ram": "96", **changes}
+    with pytest.raises(Exception) as caught:
+        read_ask(frames.write_fields({k: v for k, v in given.items() if v is not None}) + b"SELECT 1")
+    assert type(caught.value).__name__ == "Unusable" and next(iter(changes)) in str(caught.value)
+
+
+@pytest.mark.parametrize("step", [1, 4, 1_000])
+@pytest.mark.parametrize("arrays", [
+    [[b"9b", b"served", b"chunks=2,spent=41", b"a\tb\r\n"]], [[b"t", b"green", b"-", b""], [b""], []]])
+def test_resp(arrays: list[list[bytes]], step: int) -> None:
+    assert fed(resp.RespParser(), b"".join(resp.encode(*a) for a in arrays), step) == arrays
+
+
+@pytest.mark.parametrize("data", [
+    b"+OK\r\n", b"*x\r\n", b"*99\r\n", b"*-1\r\n", b"*1\r\n:5\r\n", b"*1\r\n$-1\r\n", b"*1\r\n$999999999\r\n",
+    b"*1\r\n$1\r\nabc", b"*" + b"1" * 40])
+def test_malformed_resp(data: bytes) -> None:
+    with pytest.raises(resp.BadAnswer):
+        fed(resp.RespParser(), data, 1_000)
+
+
+@pytest.mark.parametrize(("raw", "pairs"), [
+    (b"-", {}), (b"", {}), (b"chunks=2", {"chunks": "2"}), (b"a=1,b=x=y", {"a": "1", "b": "x=y"})])
+def test_pairs(raw: bytes, pairs: dict[str, str]) -> None:
+    assert resp.read_pairs(raw) == pairs
+
+
+def test_pairs_and_meters_that_are_none() -> None:
+    for raw in (b"chunks", b"=2", b"a=1,,b=2", b"\xff=1"):
+        with pytest.raises(resp.BadAnswer):
+            resp.read_pairs(raw)
+    assert resp.read_meter("inflight:7;util:0.61") == {"inflight": 7.0, "util": 0.61}
+    with pytest.raises(resp.BadAnswer):
+        resp.read_meter("util:high")
+
+
+@pytest.mark.parametrize(("statement", "group"), [
+    (b"SELECT * FROM sales_17.orders", 17), (b"select a.id from lake_9.events a", 9), (b"SELECT 1", -1),
+    (b"INSERT INTO ops_3.lines SELECT * FROM staging.batch", 3),
+    (b"SELECT 'from lake_0.x' -- from mart_1.old\nFROM mart_6.e", 6), (b"/* a_1.b */ SELECT 1 FROM c_2.d", 2),
+    (b"SELECT 'it''s a_1.b' FROM c_2.d", 2), (b'SELECT "a_1.b" FROM "c_2"."d"', 2), (b"FROM `c_2`.`d`", 2),
+    (b"SELECT 'open a_1.b", -1), (b"", -1), (b"\xff\0", -1)])
+def test_table_group(statement: bytes, group: int) -> None:
+    assert table_group(statement) == group
+
+
+def test_bus_lines() -> None:
+    line = json.dumps(event(41, target("s-1", 9090, boot_ms=1_700_000_000_123), full=True)).encode()
+    told = bus.parse_line(line)
+    assert isinstance(told, bus.BusEvent) and told.offset == 41 and told.full
+    one = told.targets[0]
+    assert one == bus.Target("s-1", "127.0.0.1", 9090, "east", "std", 2, EngineState.READY, 8.0,
+                             1_700_000_000_123_000_000)
+    assert bus.parse_line(b"17") == 17
+    assert fed(bus.LineParser(), b"17\n" + line + b"\n18", 5) == [b"17", line]
+
+
+@pytest.mark.parametrize("line", [
+    b"{", b"[]", b"null", b"1.5", b"{}", b'{"offset":"1"}', b'{"offset":1,"topology":{"targets":{}}}',
+    json.dumps(event(1, target("", 1))).encode(), json.dumps(event(1, target("s", 1, "asleep"))).encode(),
+    json.dumps(event(1, target("s", 99_999))).encode(), b"[" * 100_000,
+    json.dumps(event(1, target("s", 1, boot_ms="late"))).encode()])
+def test_bad_bus_lines(line: bytes) -> None:
+    with pytest.raises(bus.BadLine):
+        bus.parse_line(line)
