--- a/tests/test_middle.py
+++ b/tests/test_middle.py
@@ -31,7 +31,12 @@
     for at in (7 * S, 30 * MS, 10 * MS):
         wheel.at(at, lambda at=at: fired.append(at))  # type: ignore[misc]
     wheel.at(20 * MS, lambda: fired.append(-1)).cancel()
-    wheel.at(15 * MS, lambda: fired.append(0) or wheel.at(0, lambda: fired.append(1)) and None)  # type: ignore
+
+    def chained() -> None:
+        fired.append(0)
+        wheel.at(0, lambda: fired.append(1))
+
+    wheel.at(15 * MS, chained)
     wheel.advance(8 * S)
     assert fired == [10 * MS, 0, 1, 30 * MS, 7 * S]
 
