--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -40,6 +40,8 @@
 MOST_PATIENCE_MS = 3_600_000.0
 MOST_ESTIMATE = 1e9      # milliseconds, megabytes
 WAY_BACK = 10 * MS       # of a request's patience, for its way here and the answer's way back
+MOST_HELD = 48 << 20     # bytes of statements held for open requests
+HELD_PAUSE_MS = 1_000
 RESERVED = 96            # descriptors for the listener, the bus, the log and some in hand
 METER = {"busy": "utilisation", "util": "utilisation", "q": "queue", "queue": "queue",
          "x0": "memory", "x1": "disk"}
@@ -93,6 +95,7 @@
         self.probing: dict[bytes, tuple[int, int]] = {}
         self.later: list[tuple[Attempt, Result]] = []
         self.count = 0
+        self.held = 0
 
     def now(self) -> int:
         return self.clock.now()
@@ -115,6 +118,13 @@
         self.count += 1
         request = OpenRequest(str(self.count), ask.trace.encode(), ask.route.encode(), ask.statement, client,
                               stream, now + patience)
+        if self.held + len(ask.statement) > MOST_HELD:
+            # Danger: a flood of large statements ends the process for memory, and all that it had taken.
+            self.log("client", "no room for another statement: refused")
+            request.client = None
+            client.refused(stream, HELD_PAUSE_MS)
+            return request
+        self.held += len(ask.statement)
         self.requests[request.id] = request
         query = Query(request.id, ask.route, patience, ask.customer or None, int(ask.weight_ms * MS),
                       ask.ram_mb, ask.data_set, ask.retry)
@@ -123,6 +133,7 @@
         except Exception:
             # Danger: a fault in the decisions must cost this request alone, and even that gets its answer.
             self.log("fault", traceback.format_exc())
+            request.client = None
             self._close_out(request)
             client.failed(stream, "internal error")
             return request
@@ -297,6 +308,7 @@
         self._close_out(request)
 
     def _close_out(self, request: OpenRequest) -> None:
-        if request.client is None and not request.attempts:
-            self.requests.pop(request.id, None)
+        gone = request.client is None and not request.attempts
+        if gone and self.requests.pop(request.id, None) is not None:
+            self.held -= len(request.statement)
             self.facade.forget(request.id)
--- a/larchhall/lifecycle/boot.py
+++ b/larchhall/lifecycle/boot.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import resource
 import signal
 import socket
 from typing import Any
@@ -22,6 +23,8 @@
 SWEEP = 1.0             # s between looks at idle connections and slow readers
 LAGGED = 100_000_000    # ns; a tick so late is logged
 SLOW_READER = 30_000_000_000  # ns that a client may leave its answers unread
+UNREAD = 48 << 20       # bytes of answers that all clients together may leave unread
+FORSAKEN = 60_000_000_000  # ns; clients close after 4 s idle: one that has not has vanished
 IN_HAND = 16            # descriptors that clients never take
 
 
@@ -64,11 +67,12 @@
 
     def idle(self) -> bool:
         """Nothing is owed to any client and every answer has left."""
-        return all(not c.open and c.flushed() for c in self.clients)
+        return all(not c.open and c.unread() == 0 for c in self.clients)
 
     # --- run ---
 
     async def run(self) -> None:
+        self._raise_descriptors()
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self._loop_fault)
         for event in self.config.known:
@@ -91,6 +95,13 @@
         await self.stopped.wait()
         self.log("stop", "done")
 
+    def _raise_descriptors(self) -> None:
+        """Danger: a soft limit below the one we are told of is met as EMFILE at some busy moment."""
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        wanted = self.config.sockets if hard == resource.RLIM_INFINITY else min(hard, self.config.sockets)
+        if soft != resource.RLIM_INFINITY and soft < wanted:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
     def _listen(self) -> socket.socket:
         """Danger: after a kill the old connections linger; the address must be had at once all the same."""
         family = socket.AF_INET6 if ":" in self.config.host else socket.AF_INET
@@ -119,9 +130,14 @@
         self.broker.pools.sweep(now)
         if self.feed is not None:
             self.feed.check(now)
-        for client in [c for c in self.clients if c.paused_at and now - c.paused_at > SLOW_READER]:
-            self.log("client", "an unread answer is given up, its connection closed")
-            client.drop()
+        unread = 0
+        for client in sorted(self.clients, key=ClientConnection.unread):
+            unread += client.unread()
+            if unread > UNREAD or (client.paused_at and now - client.paused_at > SLOW_READER):
+                self.log("client", "unread answers are given up, their connection closed")
+                client.drop()
+            elif not client.open and now - client.heard > FORSAKEN:
+                client.drop()
 
     def _loop_fault(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         self.log("fault", f"{context.get('message')}: {context.get('exception')!r}")
--- a/larchhall/lifecycle/drain.py
+++ b/larchhall/lifecycle/drain.py
@@ -15,19 +15,21 @@
 MARGIN = 0.4         # s before the SIGKILL: everything open is closed out
 FLUSH = 0.25         # s in which the last answers may leave
 LOOK = 0.01          # s between looks whether all is done
+S = 1_000_000_000
 
 
 class Drain:
     def __init__(self, node: Node) -> None:
         self.node = node
-        self.begun = False
+        self.begun_at = 0
+        self.closed_out = False
         deadline = max(c.deadline for c in node.config.settings.classes) / 1e9
         self.last = min(deadline, LONGEST) + KILL - MARGIN
 
     def begin(self) -> None:
-        if self.begun:
+        if self.begun_at:
             return
-        self.begun = True
+        self.begun_at = self.node.clock.now()
         self.node.log("stop", "SIGTERM: going on, then draining")
         self.loop = asyncio.get_running_loop()
         self.loop.call_later(GO_ON, self._leave)
@@ -40,14 +42,16 @@
         node.leaving = True
         for client in list(node.clients):
             client.leave_off()
-        self.loop.call_later(LINGER, self._look, GO_ON + LINGER)
+        self.loop.call_later(LINGER, self._look)
 
-    def _look(self, passed: float) -> None:
+    def _look(self) -> None:
+        passed = (self.node.clock.now() - self.begun_at) / S
         if self.node.idle() or passed > self.last + FLUSH:
             self.node.stop()
             return
-        if passed - LOOK < self.last <= passed:
+        if passed >= self.last and not self.closed_out:
             # Danger: SIGKILL would take what is open with it; a final answer now is better than none.
+            self.closed_out = True
             self.node.log("stop", f"closing out {len(self.node.broker.requests)} requests")
             self.node.broker.close_out_all()
-        self.loop.call_later(LOOK, self._look, passed + LOOK)
+        self.loop.call_later(LOOK, self._look)
--- a/larchhall/wire/client.py
+++ b/larchhall/wire/client.py
@@ -11,7 +11,7 @@
 from .statement import table_group
 
 MOST_OPEN = 32
-HIGH_WATER = 512 * 1024  # bytes waiting for a slow reader; past this its requests are not read any more
+HIGH_WATER = 256 * 1024  # bytes waiting for a slow reader; past this its requests are not read any more
 MOST_TRACE = 16
 HEX = frozenset("0123456789abcdefABCDEF")
 
@@ -55,6 +55,7 @@
         self.open: dict[int, OpenRequest | None] = {}  # None while the broker is being asked
         self.last_stream = 0
         self.broken = False
+        self.heard = front.broker.now()
         self.paused_at = 0  # since when the reader has been slow; 0: it is not
 
     # --- from the socket ---
@@ -68,6 +69,7 @@
     def data_received(self, data: bytes) -> None:
         if self.broken:
             return
+        self.heard = self.front.broker.now()
         try:
             for frame in self.parser.feed(data):
                 self._frame(frame)
@@ -88,7 +90,7 @@
     def pause_writing(self) -> None:
         """Danger: a client that does not read while it asks would fill our memory with its answers."""
         self.paused_at = self.front.broker.now()
-        if self.transport is not None:
+        if self.transport is not None and not self.transport.is_closing():
             self.transport.pause_reading()
 
     def resume_writing(self) -> None:
@@ -162,8 +164,9 @@
         """No new request on this connection."""
         self._write(frames.frame(frames.NO_MORE, 0))
 
-    def flushed(self) -> bool:
-        return self.transport is None or self.transport.get_write_buffer_size() == 0
+    def unread(self) -> int:
+        """Bytes of answers that wait for the client to read."""
+        return 0 if self.transport is None else self.transport.get_write_buffer_size()
 
     def drop(self) -> None:
         if self.transport is not None:
--- a/tests/test_sockets_client.py
+++ b/tests/test_sockets_client.py
@@ -162,3 +162,44 @@
             client.ask(stream=stream, trace=f"{stream:016x}", weight="1.0")
         assert (await client.answer())[:2] == (33, frames.FAILED)
         assert len(rig.node.broker.requests) == 32
+
+
+@on_uvloop
+async def test_held_statements_are_bounded_and_given_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("larchhall.broker.MOST_HELD", 100)
+    engine = Engine(lambda *_: None)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client = await rig.client()
+        client.ask(1, b"x" * 90, weight="900.0")
+        client.ask(2, b"x" * 20, trace="2" * 16)
+        assert (await client.answer())[:2] == (2, frames.REFUSED)
+        await until(lambda: engine.words(b"do"))
+        engine.serve(engine.words(b"do")[0], engine.writers[0])
+        assert (await client.answer())[:2] == (1, frames.SERVED)
+        assert rig.node.broker.held == 0
+
+
+@on_uvloop
+async def test_a_fault_in_the_decisions_costs_one_request_and_its_answer_is_failed() -> None:
+    engine = Engine()
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client, facade = await rig.client(), rig.node.broker.facade
+        whole, facade.pick = facade.pick, None  # type: ignore[method-assign, assignment]
+        client.ask(1)
+        assert (await client.answer())[:2] == (1, frames.FAILED)
+        facade.pick = whole  # type: ignore[method-assign]
+        client.ask(2)
+        assert (await client.answer())[:2] == (2, frames.SERVED)
+        assert not rig.node.broker.requests and not facade.sends
+
+
+@on_uvloop
+async def test_vanished_clients_and_unread_answers_are_let_go(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with running(make_config()) as rig:
+        await rig.client()
+        await until(lambda: rig.node.clients)
+        now = rig.node.clock.now()
+        rig.node._sweep(now)
+        assert [c.transport is not None for c in rig.node.clients] == [True]
+        rig.node._sweep(now + 61_000 * MS)
+        await until(lambda: not rig.node.clients)
--- a/tests/test_sockets_engine.py
+++ b/tests/test_sockets_engine.py
@@ -193,3 +193,25 @@
         client.ask(route="till-load", patience="20000")
         assert (await client.answer())[1] == frames.REFUSED
         assert not engine.seen
+
+
+@on_uvloop
+async def test_a_probe_and_even_a_late_answer_teach_the_load() -> None:
+    def script(engine: Engine, parts: list[bytes], writer: asyncio.StreamWriter) -> None:
+        if parts[0] == b"top":
+            writer.write(resp.encode(parts[1], b"green", b"meter=q:2;rif:7;x1:0.5;x0:0.25", b""))
+    engine = Engine(script)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        broker = rig.node.broker
+        known = broker.facade.controller.engines[broker.engines.number("s-1")]
+        broker._probe(broker.now(), broker.engines.number("s-1"))
+        await until(lambda: known.report)
+        assert known.report is not None
+        assert (known.report.queue, known.report.memory, known.report.disk) == (2.0, 0.25, 0.5)
+        assert not broker.probing
+        client = await rig.client()
+        client.ask(patience="150", weight="100.0")
+        assert (await client.answer())[1] == frames.REFUSED
+        await until(lambda: not broker.requests)
+        engine.writers[0].write(resp.encode(TRACE.encode(), b"served", b"chunks=1,meter=q:0;x0:0.75", b"r"))
+        await until(lambda: known.report and known.report.memory == 0.75)
