--- a/larchhall/state/pools.py
+++ b/larchhall/state/pools.py
@@ -14,6 +14,7 @@
 from .wheel import Wheel
 
 SILENT = 1_000_000_000  # ns without a word while answers are owed: then a new connection shows what holds
+GONE_SILENT = 3_000_000_000  # ns without a word from an engine that the list says has ended: it has
 AFTER = 5_000_000_000   # ns after the last attempt's time is up, a retired connection is closed
 
 
@@ -122,6 +123,10 @@
                 connection.close()
             elif connection.retired and all(now > a.until + AFTER for a in connection.open.values()):
                 connection.close()
+            elif self.target.state is EngineState.GONE and now - connection.heard > GONE_SILENT:
+                # Danger: a machine that vanished resets nothing: what is open there would be held until its
+                # time is up, although no answer can come any more. It may have run.
+                connection.close()
 
 
 class Pools:
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -109,15 +109,29 @@
 
 
 @on_uvloop
-async def test_an_address_is_had_again_at_once_and_loss_of_a_client_leaves_no_trace() -> None:
+async def test_after_a_kill_it_starts_from_nothing_at_the_same_address(tmp_path: Path) -> None:
+    engine, port = Engine(), free_port()
+    known = make_known(target("s-1", await engine.start()))
+    env = write_config(tmp_path, listen=f"127.0.0.1:{port}", known=known)
+    for life in range(2):
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "larchhall", "serve", cwd=ROOT, env=env)
+        try:
+            client = await connect(port)  # left open: its end lingers at the address
+            client.ask()
+            assert (await client.answer())[1] == frames.SERVED, life
+        finally:
+            process.kill()
+            await process.wait()
+
+
+@on_uvloop
+async def test_a_client_that_has_gone_leaves_no_trace() -> None:
     engine = Engine()
-    config = make_config(target("s-1", await engine.start()))
-    async with running(config) as rig:
-        port = rig.port
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
         client = await rig.client()
         client.ask()
         await client.answer()
-        assert client.writer.get_extra_info("peername")[1] == port
         client.writer.close()
         await until(lambda: not rig.node.clients)
         assert not rig.node.broker.requests and not rig.node.broker.facade.sends
--- a/tests/test_sockets_engine.py
+++ b/tests/test_sockets_engine.py
@@ -7,6 +7,7 @@
 
 from larchhall.state import pools
 from larchhall.wire import frames, resp
+from larchhall.wire.bus import parse_event
 
 from .sockets import TRACE, Engine, event, make_config, on_uvloop, running, target, until
 
@@ -165,7 +166,6 @@
     async with running(make_config(target("s-1", port))) as rig:
         broker = rig.node.broker
         first = broker.engines.number("s-1")
-        from larchhall.wire.bus import parse_event
         broker.news(parse_event(event(2, target("s-2", port, boot_ms=1))))
         assert broker.engines.number("s-2") != first == broker.engines.number("s-1")
         client = await rig.client()
@@ -215,3 +215,21 @@
         await until(lambda: not broker.requests)
         engine.writers[0].write(resp.encode(TRACE.encode(), b"served", b"chunks=1,meter=q:0;x0:0.75", b"r"))
         await until(lambda: known.report and known.report.memory == 0.75)
+
+
+@on_uvloop
+async def test_what_a_vanished_engine_holds_is_over_once_the_list_says_that_it_has_ended() -> None:
+    engine = Engine(lambda *_: None)
+    port = await engine.start()
+    async with running(make_config(target("s-1", port))) as rig:
+        client, broker = await rig.client(), rig.node.broker
+        client.ask(route="till-load", patience="20000")
+        await until(lambda: engine.words(b"do"))
+        pool = next(iter(broker.pools.by_number.values()))
+        pool.sweep(broker.now() + 2 * pools.GONE_SILENT)
+        assert not pool.connections[0].closed  # silent, but nobody says that it has ended
+        broker.news(parse_event(event(2, target("s-1", port, "terminated"))))
+        pool.sweep(broker.now())
+        assert not pool.connections[0].closed
+        pool.sweep(broker.now() + 2 * pools.GONE_SILENT)
+        assert (await client.answer())[1] == frames.FAILED
