--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -42,7 +42,7 @@
 WAY_BACK = 10 * MS       # of a request's patience, for its way here and the answer's way back
 MOST_HELD = 48 << 20     # bytes of statements held for open requests
 HELD_PAUSE_MS = 1_000
-RESERVED = 96            # descriptors for the listener, the bus, the log and some in hand
+RESERVED = (24, 96)      # descriptors for the listener, the bus, the log and some in hand: an eighth, within
 METER = {"busy": "utilisation", "util": "utilisation", "q": "queue", "queue": "queue",
          "x0": "memory", "x1": "disk"}
 
@@ -87,9 +87,10 @@
         self.customers = {t.name for t in settings.tenants}
         self.engines = EngineTable()
         # A third of the descriptors may be held by clients; what is left after the reserve is for engines.
+        reserved = min(RESERVED[1], max(RESERVED[0], config.sockets // 8))
         self.pools = Pools(self, self.wheel, log, streams=config.streams,
                            connect_timeout=config.connect_timeout, conn_idle=config.conn_idle,
-                           most=max(8, config.sockets - config.sockets // 3 - RESERVED),
+                           most=config.sockets - config.sockets // 3 - reserved,
                            unsent=self._unsent)
         self.requests: dict[str, OpenRequest] = {}
         self.probing: dict[bytes, tuple[int, int]] = {}
--- a/tests/test_sockets_engine.py
+++ b/tests/test_sockets_engine.py
@@ -4,8 +4,13 @@
 
 import asyncio
 import socket
+from dataclasses import replace
 
+import pytest
+
+from larchhall.broker import Broker
 from larchhall.state import pools
+from larchhall.state.wheel import Clock
 from larchhall.wire import frames, resp
 from larchhall.wire.bus import parse_event
 
@@ -233,3 +238,11 @@
         assert not pool.connections[0].closed
         pool.sweep(broker.now() + 2 * pools.GONE_SILENT)
         assert (await client.answer())[1] == frames.FAILED
+
+
+@pytest.mark.parametrize(("sockets", "most"), [(64, 19), (128, 62), (256, 139), (1024, 587)])
+def test_descriptors_are_kept_for_clients_and_a_reserve(sockets: int, most: int) -> None:
+    config = replace(make_config(), sockets=sockets)
+    broker = Broker(config, Clock(), lambda kind, text: None)
+    assert broker.pools.most == most
+    assert most + sockets // 3 + 24 <= sockets
