A fault or a malformed answer costs only what it must; a lost address is a faulty key

Read, not met: one fault among due timers would have lost the others of that tick, also those that guarantee a final answer (facade.tick handed over all at once); whole answers before a malformed one in the same read were dropped with it (parsers gave lists); a one-page result past 256,000 bytes made a frame no client may accept; a failed bind ended in a traceback.

--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -153,10 +153,11 @@
     def tick(self) -> None:
         now = self.now()
         self.wheel.advance(now)
-        try:
-            self._carry_out(now, self.facade.tick(now))
-        except Exception:
-            self.log("fault", traceback.format_exc())
+        while self.facade.due:
+            try:
+                self._carry_out(now, self.facade.tick(now))
+            except Exception:
+                self.log("fault", traceback.format_exc())
         later, self.later = self.later, []
         for attempt, result in later:
             self._end(attempt, result, None)
@@ -179,11 +180,9 @@
     def _report(self, news: Ended | Probed | Left | EngineNews | Closing) -> None:
         now = self.now()
         try:
-            orders = self.facade.report(now, news)
+            self._carry_out(now, self.facade.report(now, news))
         except Exception:
             self.log("fault", traceback.format_exc())
-            return
-        self._carry_out(now, orders)
 
     def _carry_out(self, now: int, orders: Orders) -> None:
         for id, priority, memory_mb in orders.terms:
--- a/larchhall/cli.py
+++ b/larchhall/cli.py
@@ -4,18 +4,22 @@
 
 import os
 import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
 from importlib.metadata import PackageNotFoundError
 from importlib.metadata import version as installed
 
 import click
 
 from . import __version__
-from .config import Config, ConfigError, load
+from .config import ConfigError, load
 
 
-def _load() -> Config:
+@contextmanager
+def _telling() -> Iterator[None]:
+    """Bad configuration is one line that names the key, and exit code 2."""
     try:
-        return load(os.environ)
+        yield
     except ConfigError as error:
         print(f"larchhall: {error}", file=sys.stderr)
         sys.exit(2)
@@ -34,13 +38,15 @@
     """Serve clients until SIGTERM."""
     from .lifecycle.boot import serve as run
 
-    run(_load())
+    with _telling():
+        run(load(os.environ))
 
 
 @main.command("check-config")
 def check_config() -> None:
     """Read the configuration, say what it holds, and do nothing."""
-    config = _load()
+    with _telling():
+        config = load(os.environ)
     click.echo(f"{config.name}: ok, {len(config.settings.classes)} classes, "
                f"listening on {config.host}:{config.port}")
 
--- a/larchhall/facade.py
+++ b/larchhall/facade.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -108,7 +109,7 @@
     def __init__(self, settings: api.Settings, seed: int, now: int, wheel: Wheel) -> None:
         self.controller = AdmissionController(settings, seed, now)
         self.wheel = wheel
-        self.due: list[int] = []
+        self.due: deque[int] = deque()  # timers of the module that the wheel has found due
         self.sends: dict[str, int] = {}  # attempts are numbered in the order of a request's sends
 
     def pick(self, now: int, query: Query) -> Orders:
@@ -135,12 +136,9 @@
         return self._handle(now, orders, event)
 
     def tick(self, now: int) -> Orders:
-        """Hand over the module's timers that the wheel has found due."""
-        orders = Orders()
-        due, self.due = self.due, []
-        for token in due:
-            self._handle(now, orders, api.TimerFired(token))
-        return orders
+        """Hand over the first of the timers that are due. Danger: a fault in one must not cost the others,
+        among them the ones that guarantee a final answer; so each is taken out first, and alone."""
+        return self._handle(now, Orders(), api.TimerFired(self.due.popleft()))
 
     def forget(self, request: str) -> None:
         """The network holds nothing of this request any more."""
--- a/larchhall/lifecycle/boot.py
+++ b/larchhall/lifecycle/boot.py
@@ -12,7 +12,7 @@
 import uvloop
 
 from ..broker import Broker
-from ..config import Config
+from ..config import Config, ConfigError
 from ..state.wheel import Clock
 from ..wire.client import ClientConnection
 from ..wire.feed import Feed
@@ -107,7 +107,11 @@
         family = socket.AF_INET6 if ":" in self.config.host else socket.AF_INET
         listener = socket.socket(family, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((self.config.host, self.config.port))
+        try:
+            listener.bind((self.config.host, self.config.port))
+        except OSError as error:
+            listener.close()
+            raise ConfigError(f"listen: {self.config.host}:{self.config.port}: {error}") from None
         return listener
 
     def _news(self, event: Any) -> None:
@@ -150,6 +154,7 @@
 
 
 def serve(config: Config) -> None:
+    """Until SIGTERM; ConfigError where the address cannot be listened on."""
     async def main() -> None:
         await Node(config).run()
 
--- a/larchhall/wire/engine.py
+++ b/larchhall/wire/engine.py
@@ -92,6 +92,8 @@
         self.heard = self.owner.now()
         try:
             for parts in self.parser.feed(data):
+                if self.closed:
+                    return
                 self._answer(parts)
         except resp.BadAnswer as error:
             self._drop(f"malformed answer: {error}")
@@ -142,6 +144,8 @@
         chunks = _count(fields.get("chunks", "1"), "chunks")
         if attempt is None or attempt.pages:
             return  # a second answer
+        if len(body) > MOST_RESULT:
+            raise resp.BadAnswer("a result larger than an answer can hold")
         if not attempt.wanted():
             # Answered elsewhere, timed out, or the client left: the pages behind this one are not wanted.
             if chunks > 1:
--- a/larchhall/wire/frames.py
+++ b/larchhall/wire/frames.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+from collections.abc import Iterator
 from typing import NamedTuple
 
 REQUEST, ANSWER, ABANDON, ASK_READY, READY, NO_MORE = 2, 4, 8, 16, 32, 64
@@ -24,17 +25,16 @@
 
 
 class FrameParser:
-    """Takes bytes as they come; gives whole frames."""
+    """Takes bytes as they come; gives whole frames, also those before a broken one."""
 
     def __init__(self) -> None:
         self.buffer = bytearray()
 
-    def feed(self, data: bytes) -> list[Frame]:
+    def feed(self, data: bytes) -> Iterator[Frame]:
         """Danger: a length is believed before its bytes are there: an impossible one is an error at once,
         and what is held never passes one frame's length."""
         buffer = self.buffer
         buffer += data
-        frames: list[Frame] = []
         at = 0
         while len(buffer) - at >= 4:
             length = int.from_bytes(buffer[at:at + 4], "big")
@@ -45,10 +45,9 @@
             if len(buffer) - at < 4 + length:
                 break
             _, kind, stream = HEAD.unpack_from(buffer, at)
-            frames.append(Frame(kind, stream, bytes(buffer[at + HEAD.size:at + 4 + length])))
+            yield Frame(kind, stream, bytes(buffer[at + HEAD.size:at + 4 + length]))
             at += 4 + length
         del buffer[:at]
-        return frames
 
 
 def read_fields(payload: bytes) -> tuple[dict[str, str], bytes]:
--- a/larchhall/wire/resp.py
+++ b/larchhall/wire/resp.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 MOST_BULK = 262_144
 MOST_PARTS = 16
 MOST_LINE = 32
@@ -16,20 +18,18 @@
 
 
 class RespParser:
-    """Takes bytes as they come; gives whole arrays."""
+    """Takes bytes as they come; gives whole arrays, also those before a malformed one."""
 
     def __init__(self) -> None:
         self.buffer = bytearray()
 
-    def feed(self, data: bytes) -> list[list[bytes]]:
+    def feed(self, data: bytes) -> Iterator[list[bytes]]:
         self.buffer += data
-        arrays: list[list[bytes]] = []
         at = 0
         while (read := self._array(at)) is not None:
             parts, at = read
-            arrays.append(parts)
+            yield parts
         del self.buffer[:at]
-        return arrays
 
     def _number(self, at: int, sign: bytes, most: int) -> tuple[int, int] | None:
         """The number of a line such as `*4` or `$17`, and where the next line begins."""
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -13,7 +13,10 @@
 from typing import Any
 
 import pytest
+from click.testing import CliRunner
 
+from larchhall import __version__
+from larchhall.cli import main
 from larchhall.lifecycle.drain import Drain
 from larchhall.wire import frames
 
@@ -79,6 +82,14 @@
             await process.wait()
 
 
+def test_an_address_that_cannot_be_had_is_told_as_a_faulty_key(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as other:
+        env = write_config(tmp_path, listen=f"127.0.0.1:{other.getsockname()[1]}")
+        done = subprocess.run([sys.executable, "-m", "larchhall"], env=env, cwd=ROOT, capture_output=True,
+                              text=True, check=False)
+    assert done.returncode == 2 and done.stderr.startswith("larchhall: listen: 127.0.0.1:")
+
+
 def make_known(*targets: dict[str, Any]) -> dict[str, Any]:
     return {"offset": 1, "batch": [event(1, *targets, full=True)]}
 
@@ -135,3 +146,14 @@
         client.writer.close()
         await until(lambda: not rig.node.clients)
         assert not rig.node.broker.requests and not rig.node.broker.facade.sends
+
+
+def test_the_command_line(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    told = CliRunner().invoke(main, ["version"])
+    assert told.exit_code == 0 and told.output.startswith(f"larchhall {__version__}\nuvloop ")
+    for key, value in write_config(tmp_path).items():
+        monkeypatch.setenv(key, value)
+    checked = CliRunner().invoke(main, ["check-config"])
+    assert checked.exit_code == 0 and checked.output.startswith("n0: ok, 2 classes")
+    write_config(tmp_path, listen="x")
+    assert CliRunner().invoke(main, ["check-config"]).exit_code == 2
--- a/tests/test_sockets_engine.py
+++ b/tests/test_sockets_engine.py
@@ -246,3 +246,32 @@
     broker = Broker(config, Clock(), lambda kind, text: None)
     assert broker.pools.most == most
     assert most + sockets // 3 + 24 <= sockets
+
+
+@on_uvloop
+async def test_whole_answers_before_a_malformed_one_count() -> None:
+    def script(engine: Engine, parts: list[bytes], writer: asyncio.StreamWriter) -> None:
+        writer.write(resp.encode(parts[1], b"served", b"chunks=1", b"1\ta\tb\n") + b"-ERR\r\n")
+    engine = Engine(script)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client = await rig.client()
+        client.ask(route="till-load", patience="20000")
+        assert await client.answer() == (1, frames.SERVED, {}, b"1\ta\tb\n")
+        await until(lambda: not any(p.connections for p in rig.node.broker.pools.by_number.values()))
+
+
+@on_uvloop
+async def test_a_fault_in_one_timer_costs_no_other_its_answer() -> None:
+    engine = Engine(lambda *_: None)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client, facade = await rig.client(), rig.node.broker.facade
+
+        def fault(now: int) -> None:
+            raise ZeroDivisionError
+
+        facade.controller.timers[-1] = (fault, ())
+        client.ask(patience="300")
+        await until(lambda: engine.words(b"do"))
+        facade.due.append(-1)
+        assert (await client.answer())[1] == frames.REFUSED
+        assert any("ZeroDivisionError" in line for line in rig.logged)
