--- a/tests/test_sockets_engine.py
+++ b/tests/test_sockets_engine.py
@@ -75,7 +75,8 @@
 @on_uvloop
 async def test_what_may_have_run_is_a_failed_load_and_never_sent_twice() -> None:
     cases = [always(b"crashed"), rude(b""), rude(b"-ERR\r\n"), always(b"what"),
-             rude(resp.encode(TRACE.encode(), b"served", b"chunks=x", b""))]
+             rude(resp.encode(TRACE.encode(), b"served", b"chunks=x", b"")),
+             rude(resp.encode(TRACE.encode(), b"served", b"chunks=1", b"x" * 256_001))]
     for engine in cases:
         other = Engine()
         async with running(make_config(target("s-1", await engine.start()))) as rig:
