Let no connect that news of the engine overtook take anything to its old address

Read, not met: a connect under way when the engine moved, or its address went to another uid, came up as if nothing had happened; what was meant for one engine reached another (a cold one, in a deploy). At fault: pools.py _connect read the target once and never again. The test fails without the change. Parsers are also fed arbitrary bytes, cut in two ways: only their own refusals, and alike.

--- a/larchhall/state/pools.py
+++ b/larchhall/state/pools.py
@@ -69,14 +69,14 @@
     async def _connect(self) -> None:
         why = ""
         connection: EngineConnection | None = None
+        address = self.target.host, self.target.port
         try:
             if not self.pools.make_room():
                 raise OSError(errno.EMFILE, "no descriptor is left for engines")
             loop = asyncio.get_running_loop()
             async with asyncio.timeout(self.pools.connect_timeout / 1e9):
                 _, connection = await loop.create_connection(
-                    partial(EngineConnection, self.pools.owner, self.number), self.target.host,
-                    self.target.port)
+                    partial(EngineConnection, self.pools.owner, self.number), *address)
         except TimeoutError:
             why = "no connection in time"
         except OSError as error:
@@ -89,6 +89,10 @@
         now = self.pools.owner.now()
         if connection is not None and connection.closed:
             connection, why = None, "lost as it came up"
+        if connection is not None and not self._still_at(address):
+            # Danger: another engine may listen there by now; nothing meant for this one may reach it.
+            connection.close()
+            connection, why = None, "it has moved meanwhile"
         if connection is not None:
             self.connections.append(connection)
             for tag in probes:
@@ -110,11 +114,14 @@
 
     def moved(self, target: Target) -> None:
         """News of the engine: at a new address, or in a new life, old connections take nothing more."""
-        if (target.host, target.port) != (self.target.host, self.target.port) \
-                or target.state is EngineState.GONE:
+        address = self.target.host, self.target.port
+        self.target = target
+        if not self._still_at(address):
             for connection in self.connections:
                 connection.retired = True
-        self.target = target
+
+    def _still_at(self, address: tuple[str, int]) -> bool:
+        return (self.target.host, self.target.port) == address and self.target.state is not EngineState.GONE
 
     def sweep(self, now: int) -> None:
         for connection in list(self.connections):
--- a/tests/test_sockets_engine.py
+++ b/tests/test_sockets_engine.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from larchhall.broker import Broker
+from larchhall.broker import Ask, Broker
 from larchhall.state import pools
 from larchhall.state.wheel import Clock
 from larchhall.wire import frames, resp
@@ -276,3 +276,32 @@
         facade.due.append(-1)
         assert (await client.answer())[1] == frames.REFUSED
         assert any("ZeroDivisionError" in line for line in rig.logged)
+
+
+class Waiter:
+    """A client of no protocol."""
+
+    def __init__(self) -> None:
+        self.answers: list[str] = []
+
+    def served(self, stream: int, body: bytes) -> None:
+        self.answers.append("served")
+
+    def refused(self, stream: int, pause_ms: int) -> None:
+        self.answers.append("refused")
+
+    def failed(self, stream: int, reason: str) -> None:
+        self.answers.append("failed")
+
+
+@on_uvloop
+async def test_a_connect_that_news_overtook_takes_nothing_to_whoever_listens_there_now() -> None:
+    engine = Engine()
+    port = await engine.start()
+    async with running(make_config(target("s-1", port))) as rig:
+        client = Waiter()
+        rig.node.broker.submit(client, 1, Ask("till-load", TRACE, "acme", 20_000, 10, 16, False, 17, b"x"))
+        # In the same turn of the loop, so that its connect is under way.
+        rig.node.broker.news(parse_event(event(2, target("s-2", port, "terminating"))))
+        await until(lambda: client.answers)
+        assert client.answers == ["refused"] and not engine.seen
--- a/tests/test_wire_tables.py
+++ b/tests/test_wire_tables.py
@@ -6,6 +6,8 @@
 from typing import Any
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from larchhall.interface import EngineState
 from larchhall.wire import bus, frames, resp
@@ -22,13 +24,13 @@
 
 
 @pytest.mark.parametrize("step", [1, 3, 1_000])
-@pytest.mark.parametrize("given", [
+@pytest.mark.parametrize("sent", [
     [(frames.REQUEST, 1, FIELDS + b"SELECT 1")],
     [(frames.ABANDON, 7, b""), (frames.ASK_READY, 9, b"\0"), (frames.REQUEST, 2**32 - 1, b"")],
 ])
-def test_frames(given: list[tuple[int, int, bytes]], step: int) -> None:
-    data = b"".join(frames.frame(*one) for one in given)
-    assert fed(frames.FrameParser(), data, step) == given
+def test_frames(sent: list[tuple[int, int, bytes]], step: int) -> None:
+    data = b"".join(frames.frame(*one) for one in sent)
+    assert fed(frames.FrameParser(), data, step) == sent
 
 
 @pytest.mark.parametrize("data", [
@@ -57,9 +59,9 @@
     {"patience": "soon"}, {"patience": "nan"}, {"patience": "-1"}, {"patience": "inf"}, {"weight": "much"},
     {"weight": "-3"}, {"ram": "1e999"}, {"redo": "yes"}])
 def test_unusable_requests(changes: dict[str, str | None]) -> None:
-    given = {"route": "lookup", "trace": TRACE, "patience": "1500", "weight": "8.5", "ram": "96", **changes}
+    base = {"route": "lookup", "trace": TRACE, "patience": "1500", "weight": "8.5", "ram": "96", **changes}
     with pytest.raises(Exception) as caught:
-        read_ask(frames.write_fields({k: v for k, v in given.items() if v is not None}) + b"SELECT 1")
+        read_ask(frames.write_fields({k: v for k, v in base.items() if v is not None}) + b"SELECT 1")
     assert type(caught.value).__name__ == "Unusable" and next(iter(changes)) in str(caught.value)
 
 
@@ -122,3 +124,25 @@
 def test_bad_bus_lines(line: bytes) -> None:
     with pytest.raises(bus.BadLine):
         bus.parse_line(line)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None, database=None)
+@given(st.binary(max_size=60) | st.lists(st.sampled_from([
+    frames.frame(frames.REQUEST, 1, FIELDS), frames.frame(frames.ASK_READY, 3, b"\0"), b"\0\0\0",
+    b"*4\r\n$1\r\nt\r\n",
+    b"$6\r\nserved\r\n", b"$-1\r\n", b"{}\n", b"17\n", b"\xff"])).map(b"".join), st.integers(1, 9))
+def test_any_bytes_are_read_or_refused_alike_however_they_are_cut(data: bytes, step: int) -> None:
+    """Danger: no input may raise anything but the parser's own refusal."""
+    for parser, refusal in ((frames.FrameParser, frames.BadFrame), (resp.RespParser, resp.BadAnswer),
+                            (bus.LineParser, bus.BadLine)):
+        results = []
+        for size in (step, 1_000):
+            got: list[Any] = []
+            try:
+                one = parser()
+                for at in range(0, len(data), size):
+                    got.extend(one.feed(data[at:at + size]))
+                results.append((got, False))
+            except refusal:
+                results.append((got, True))
+        assert results[0] == results[1]
