Free streams whose answer never comes; network code sees the module through the facade alone

Read, not met: an attempt that its engine never answers stayed open on its connection for good, and made the engine look silent to every later send, a new connection each.

--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -13,7 +13,6 @@
 from dataclasses import dataclass
 from functools import partial
 
-from . import interface as words
 from .config import Config
 from .facade import (
     Closing,
@@ -88,7 +87,7 @@
         self.engines = EngineTable()
         # A third of the descriptors may be held by clients; what is left after the reserve is for engines.
         reserved = min(RESERVED[1], max(RESERVED[0], config.sockets // 8))
-        self.pools = Pools(self, self.wheel, log, streams=config.streams,
+        self.pools = Pools(self, log, streams=config.streams,
                            connect_timeout=config.connect_timeout, conn_idle=config.conn_idle,
                            most=config.sockets - config.sockets // 3 - reserved,
                            unsent=self._unsent)
@@ -292,7 +291,7 @@
             self.log("engine", str(error))
             return None
         known = {METER[name]: value for name, value in values.items() if name in METER}
-        return words.LoadReport(**known) if known else None
+        return LoadReport(**known) if known else None
 
     def _end(self, attempt: Attempt, result: Result, load: LoadReport | None) -> None:
         if attempt.reported:
--- a/larchhall/config.py
+++ b/larchhall/config.py
@@ -18,7 +18,7 @@
 EFFECTS = {"read_like": api.Effect.SAFE, "idempotency_key": api.Effect.KEYED,
            "non_idempotent": api.Effect.UNSAFE}
 SCOPES = {scope.value: scope for scope in api.Scope}
-DEFAULT_LIMITS = {"sockets": 1_024, "memory_mb": 192, "cores": 1.0}
+DEFAULT_SOCKETS = 1_024
 DEFAULT_CONNECT_TIMEOUT = 250_000_000  # ns
 DEFAULT_CONN_IDLE = 30_000_000_000     # ns
 DEFAULT_STREAMS = 32
@@ -201,8 +201,8 @@
     return Config(
         name=environ.get("PROXY_NAME") or get(raw, "name", "text", "larchhall"), host=host, port=port,
         seed=seed_number,
-        sockets=_at_least(LEAST_SOCKETS, get(limits, "limits.sockets", "whole number",
-                                             DEFAULT_LIMITS["sockets"]), "limits.sockets"),
+        sockets=_at_least(LEAST_SOCKETS, get(limits, "limits.sockets", "whole number", DEFAULT_SOCKETS),
+                          "limits.sockets"),
         bus=_address(bus, "bus") if bus else None,
         known_offset=get(known, "known.offset", "whole number", events[-1].offset if events else 0),
         known=events, connect_timeout=connect_timeout, conn_idle=conn_idle, streams=streams,
--- a/larchhall/state/engines.py
+++ b/larchhall/state/engines.py
@@ -5,7 +5,7 @@
 import hashlib
 from dataclasses import dataclass
 
-from ..interface import EngineEntry, EngineState
+from ..facade import EngineEntry, EngineState
 from ..wire.bus import BusEvent, Target
 
 
--- a/larchhall/state/pools.py
+++ b/larchhall/state/pools.py
@@ -11,16 +11,15 @@
 from ..wire.bus import Target
 from ..wire.engine import EngineConnection, Owner
 from .requests import Attempt
-from .wheel import Wheel
 
 SILENT = 1_000_000_000  # ns without a word while answers are owed: then a new connection shows what holds
 GONE_SILENT = 3_000_000_000  # ns without a word from an engine that the list says has ended: it has
-AFTER = 5_000_000_000   # ns after the last attempt's time is up, a retired connection is closed
+AFTER = 30_000_000_000  # ns after an attempt's time is up, its answer is not expected any more
 
 
 class EnginePool:
-    """The connections to one engine. ``opening`` holds the attempts that wait for a connection to come up;
-    none of them has left for the engine."""
+    """The connections to one engine. ``waiting`` holds the attempts that wait for one to come up; none of
+    them has left for the engine."""
 
     def __init__(self, pools: Pools, number: int, target: Target) -> None:
         self.pools, self.number, self.target = pools, number, target
@@ -128,8 +127,12 @@
             if not connection.open and not connection.probes and (
                     connection.retired or now - max(connection.used, connection.heard) > self.pools.idle):
                 connection.close()
-            elif connection.retired and all(now > a.until + AFTER for a in connection.open.values()):
-                connection.close()
+            elif any(now > a.until + AFTER for a in connection.open.values()):
+                # Danger: an answer that never comes would hold its stream for good. Once nothing that is
+                # still expected is out on it, the connection ends: before, that would give it up.
+                connection.retired = True
+                if all(now > a.until + AFTER for a in connection.open.values()):
+                    connection.close()
             elif self.target.state is EngineState.GONE and now - connection.heard > GONE_SILENT:
                 # Danger: a machine that vanished resets nothing: what is open there would be held until its
                 # time is up, although no answer can come any more. It may have run.
@@ -139,10 +142,10 @@
 class Pools:
     """All pools, and the count of descriptors that they may hold together."""
 
-    def __init__(self, owner: Owner, wheel: Wheel, log: Callable[[str, str], None], *, streams: int,
+    def __init__(self, owner: Owner, log: Callable[[str, str], None], *, streams: int,
                  connect_timeout: int, conn_idle: int, most: int,
                  unsent: Callable[[Attempt, Result], None]) -> None:
-        self.owner, self.wheel, self.log, self.unsent = owner, wheel, log, unsent
+        self.owner, self.log, self.unsent = owner, log, unsent
         self.streams, self.connect_timeout, self.most = streams, connect_timeout, most
         # Danger: a send that meets the engine's idle close is lost: we close long before.
         self.idle = conn_idle // 2
--- a/larchhall/wire/bus.py
+++ b/larchhall/wire/bus.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ..interface import EngineState
+from ..facade import EngineState
 
 STATES = {"in_service": EngineState.READY, "terminating": EngineState.DRAINING,
           "terminated": EngineState.GONE}
--- a/larchhall/wire/engine.py
+++ b/larchhall/wire/engine.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Protocol, cast
 
-from ..interface import Result
+from ..facade import Result
 from ..state.requests import Attempt
 from . import resp
 
@@ -42,8 +42,7 @@
         self.parser = resp.RespParser()
         self.open: dict[bytes, Attempt] = {}
         self.probes: set[bytes] = set()
-        self.opened = owner.now()
-        self.heard = self.used = self.opened
+        self.heard = self.used = owner.now()
         self.retired = False  # takes no further sends
         self.closed = False
 
--- a/larchhall/wire/frames.py
+++ b/larchhall/wire/frames.py
@@ -9,7 +9,6 @@
 REQUEST, ANSWER, ABANDON, ASK_READY, READY, NO_MORE = 2, 4, 8, 16, 32, 64
 SERVED, REFUSED, FAILED = 0, 1, 2
 LEAST, MOST = 5, 262_144  # of a frame's length field
-MOST_BODY = MOST - 4_096  # leaves room for the answer's code and fields
 HEAD = struct.Struct(">IBI")
 FROM_CLIENT = frozenset({REQUEST, ABANDON, ASK_READY})
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from larchhall.config import DEFAULT_LIMITS, ConfigError, load, parse
+from larchhall.config import DEFAULT_SOCKETS, ConfigError, load, parse
 from larchhall.interface import Effect
 
 from .sockets import MS, event, settings, target
@@ -47,7 +47,7 @@
         "fleet_size": 1, "tick": 5 * MS}}
     config = parse(least, {"PROXY_NAME": "n9", "PROXY_LISTEN": "127.0.0.1:80"})
     assert (config.name, config.host, config.port) == ("n9", "127.0.0.1", 80)
-    assert (config.sockets, config.bus, config.known) == (DEFAULT_LIMITS["sockets"], None, ())
+    assert (config.sockets, config.bus, config.known) == (DEFAULT_SOCKETS, None, ())
 
 
 @pytest.mark.parametrize(("path", "value", "key"), [
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import tomllib
 from pathlib import Path
 
@@ -15,3 +16,12 @@
     for path in sorted([*ROOT.glob("larchhall/**/*.py"), *ROOT.glob("tests/*.py")]):
         for number, line in enumerate(path.read_text(encoding="utf-8").splitlines(), 1):
             assert len(line) <= 110, f"{path.name}:{number}"
+
+
+def test_network_code_sees_the_module_through_the_facade_alone() -> None:
+    """Danger: a decision that slips into network code is one that the simulator never plays."""
+    folders = [ROOT / "larchhall" / name for name in ("wire", "state", "lifecycle")]
+    for path in [ROOT / "larchhall" / "broker.py", *(p for f in folders for p in f.glob("*.py"))]:
+        text = path.read_text(encoding="utf-8")
+        assert not re.search(r"^\s*from \.+(interface|brain|books)\b|import (interface|brain|books)\b", text,
+                             re.M), path.name
--- a/tests/test_sockets_engine.py
+++ b/tests/test_sockets_engine.py
@@ -14,7 +14,7 @@
 from larchhall.wire import frames, resp
 from larchhall.wire.bus import parse_event
 
-from .sockets import TRACE, Engine, event, make_config, on_uvloop, running, target, until
+from .sockets import MS, TRACE, Engine, event, make_config, on_uvloop, running, target, until
 
 
 def closed_port() -> int:
@@ -305,3 +305,22 @@
         rig.node.broker.news(parse_event(event(2, target("s-2", port, "terminating"))))
         await until(lambda: client.answers)
         assert client.answers == ["refused"] and not engine.seen
+
+
+@on_uvloop
+async def test_an_answer_that_never_comes_does_not_hold_its_stream_for_good() -> None:
+    engine = Engine(lambda *_: None)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client, broker = await rig.client(), rig.node.broker
+        client.ask(stream=1, patience="200", weight="100.0")
+        assert (await client.answer())[1] == frames.REFUSED
+        client.ask(stream=2, patience="20000", route="till-load", trace="2" * 16)
+        await until(lambda: len(engine.words(b"do")) == 2)
+        pool = next(iter(broker.pools.by_number.values()))
+        old = pool.connections[0]
+        pool.sweep(broker.now() + pools.AFTER + 1_000 * MS)
+        assert old.retired and not old.closed  # the load on it is still expected
+        engine.serve(engine.words(b"do")[1], engine.writers[0])
+        assert (await client.answer())[:2] == (2, frames.SERVED)
+        pool.sweep(broker.now() + pools.AFTER + 1_000 * MS)
+        await until(lambda: old.closed)
