--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -147,7 +147,9 @@
     @property
     def port(self) -> int:
         assert self.node.server is not None
-        return int(self.node.server.sockets[0].getsockname()[1])
+        if self.node.server.sockets:  # none once it is closed
+            self.last_port = int(self.node.server.sockets[0].getsockname()[1])
+        return self.last_port
 
     async def client(self) -> Client:
         return Client(*await asyncio.open_connection("127.0.0.1", self.port))
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -51,7 +51,7 @@
 
 
 @on_uvloop
-async def test_sigterm_serves_on_then_leaves_off_and_ends_with_0(tmp_path: Path) -> None:
+async def test_after_sigterm_what_was_taken_is_finished_and_the_process_ends_with_0(tmp_path: Path) -> None:
     engine = Engine(lambda *_: None)
     port = free_port()
     known = make_known(target("s-1", await engine.start()))
@@ -63,18 +63,9 @@
         first.ask(stream=1, trace="1" * 16)
         await until(lambda: len(engine.words(b"do")) == 1)
         process.send_signal(signal.SIGTERM)
-        second = await connect(port)  # connections and requests are still taken, and it is ready
-        second.send(frames.ASK_READY, 0, b"\0")
-        assert await second.frame() == (frames.READY, 0, b"\0\0")
-        second.ask(stream=1, trace="2" * 16)
-        await until(lambda: len(engine.words(b"do")) == 2)
-        assert await second.frame() == (frames.NO_MORE, 0, b"")
         assert await first.frame() == (frames.NO_MORE, 0, b"")
-        second.send(frames.ASK_READY, 0, b"\0")
-        assert await second.frame() == (frames.READY, 0, b"\x01\0")
-        for do in engine.words(b"do"):
-            engine.serve(do, engine.writers[0])
-        assert (await first.answer())[1] == (await second.answer())[1] == frames.SERVED
+        engine.serve(engine.words(b"do")[0], engine.writers[0])
+        assert (await first.answer())[1] == frames.SERVED
         assert await within(process.wait()) == 0
     finally:
         if process.returncode is None:
@@ -82,6 +73,30 @@
             await process.wait()
 
 
+@on_uvloop
+async def test_between_sigterm_and_leaving_off_nothing_changes_for_clients(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    for name in ("GO_ON", "LINGER"):  # the steps are taken by hand
+        monkeypatch.setattr(f"larchhall.lifecycle.drain.{name}", 3_600.0)
+    engine = Engine()
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        drain = Drain(rig.node)
+        drain.begin()
+        client = await rig.client()
+        client.send(frames.ASK_READY, 0, b"\0")
+        assert await client.frame() == (frames.READY, 0, b"\0\0")
+        client.ask(stream=1)
+        assert (await client.answer())[1] == frames.SERVED
+        drain._leave()
+        assert await client.frame() == (frames.NO_MORE, 0, b"")
+        client.send(frames.ASK_READY, 0, b"\0")
+        client.ask(stream=2)  # it crossed the word to leave off
+        assert await client.frame() == (frames.READY, 0, b"\x01\0")
+        assert (await client.answer())[:2] == (2, frames.SERVED)
+        with pytest.raises(ConnectionRefusedError):
+            await rig.client()
+
+
 def test_an_address_that_cannot_be_had_is_told_as_a_faulty_key(tmp_path: Path) -> None:
     with socket.create_server(("127.0.0.1", 0)) as other:
         env = write_config(tmp_path, listen=f"127.0.0.1:{other.getsockname()[1]}")
--- a/tests/test_sockets_client.py
+++ b/tests/test_sockets_client.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from larchhall.broker import WAY_BACK
 from larchhall.wire import frames, resp
 
 from .sockets import MS, STATEMENT, TRACE, Engine, make_config, on_uvloop, running, settings, target, until
@@ -126,9 +127,11 @@
         loop = asyncio.get_running_loop()
         sent = loop.time()
         client.ask(patience="300")
+        await until(lambda: engine.words(b"do"))
+        request = next(iter(rig.node.broker.requests.values()))
+        assert request.deadline <= rig.node.clock.now() + 300 * MS - WAY_BACK
         assert (await client.answer())[1] == frames.REFUSED
         assert 0.25 < loop.time() - sent
-        assert rig.node.broker.config.settings.tick == 5 * MS
 
 
 @on_uvloop
