Plan with the system's own descriptor limit and keep the engines' part from clients

Seen in a probe (hard limit 30 under a configured 64, 50 clients): the process lived, but the clients held every descriptor and no engine could be reached: 15 of 50 answered, all refused with EMFILE in the log. Ruled out: accept on EMFILE does not end the listener (a client after the flood was served). At fault: boot.py came() left clients all that engines did not hold yet; the hard limit was never read. Tests: clients beyond their part; the system's limit.

--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -41,6 +41,7 @@
 WAY_BACK = 10 * MS       # of a request's patience, for its way here and the answer's way back
 MOST_HELD = 48 << 20     # bytes of statements held for open requests
 HELD_PAUSE_MS = 1_000
+LEAST_ENGINES = 4        # connections to engines, whatever the limit
 RESERVED = (24, 96)      # descriptors for the listener, the bus, the log and some in hand: an eighth, within
 METER = {"busy": "utilisation", "util": "utilisation", "q": "queue", "queue": "queue",
          "x0": "memory", "x1": "disk"}
@@ -89,7 +90,7 @@
         reserved = min(RESERVED[1], max(RESERVED[0], config.sockets // 8))
         self.pools = Pools(self, log, streams=config.streams,
                            connect_timeout=config.connect_timeout, conn_idle=config.conn_idle,
-                           most=config.sockets - config.sockets // 3 - reserved,
+                           most=max(LEAST_ENGINES, config.sockets - config.sockets // 3 - reserved),
                            unsent=self._unsent)
         self.requests: dict[str, OpenRequest] = {}
         self.probing: dict[bytes, tuple[int, int]] = {}
--- a/larchhall/lifecycle/boot.py
+++ b/larchhall/lifecycle/boot.py
@@ -7,6 +7,7 @@
 import resource
 import signal
 import socket
+from dataclasses import replace
 from typing import Any
 
 import uvloop
@@ -28,14 +29,27 @@
 IN_HAND = 16            # descriptors that clients never take
 
 
+def raise_descriptors(wanted: int) -> int:
+    """Danger: a limit of the system below the one we are told of is met as EMFILE at some busy moment. The
+    soft one is raised, the hard one is what we then plan with."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if hard != resource.RLIM_INFINITY:
+        wanted = min(hard, wanted)
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+    return wanted
+
+
 class Node:
     """One running broker: the front to clients, the middle, the bus."""
 
     def __init__(self, config: Config) -> None:
-        self.config = config
+        self.config = config = replace(config, sockets=raise_descriptors(config.sockets))
         self.log = Log(config.name)
         self.clock = Clock()
         self.broker = Broker(config, self.clock, self.log)
+        # Danger: a flood of clients takes every descriptor, and none is left to reach an engine.
+        self.most_clients = config.sockets - IN_HAND - self.broker.pools.most
         self.clients: set[ClientConnection] = set()
         self.server: asyncio.Server | None = None
         self.feed: Feed | None = None
@@ -50,9 +64,8 @@
         return self.listed and not self.leaving
 
     def came(self, connection: ClientConnection) -> bool:
-        """Danger: a flood of clients takes every descriptor, and none is left to reach an engine."""
-        if len(self.clients) >= self.config.sockets - IN_HAND - self.engine_connections():
-            self.log("client", "no descriptor is left: connection refused")
+        if len(self.clients) >= self.most_clients:
+            self.log("client", f"more than {self.most_clients} connections: one is refused")
             return False
         self.clients.add(connection)
         if self.leaving:
@@ -62,9 +75,6 @@
     def went(self, connection: ClientConnection) -> None:
         self.clients.discard(connection)
 
-    def engine_connections(self) -> int:
-        return sum(len(p.connections) for p in self.broker.pools.by_number.values())
-
     def idle(self) -> bool:
         """Nothing is owed to any client and every answer has left."""
         return all(not c.open and c.unread() == 0 for c in self.clients)
@@ -72,7 +82,6 @@
     # --- run ---
 
     async def run(self) -> None:
-        self._raise_descriptors()
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self._loop_fault)
         for event in self.config.known:
@@ -95,13 +104,6 @@
         await self.stopped.wait()
         self.log("stop", "done")
 
-    def _raise_descriptors(self) -> None:
-        """Danger: a soft limit below the one we are told of is met as EMFILE at some busy moment."""
-        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-        wanted = self.config.sockets if hard == resource.RLIM_INFINITY else min(hard, self.config.sockets)
-        if soft != resource.RLIM_INFINITY and soft < wanted:
-            resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
-
     def _listen(self) -> socket.socket:
         """Danger: after a kill the old connections linger; the address must be had at once all the same."""
         family = socket.AF_INET6 if ":" in self.config.host else socket.AF_INET
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -17,6 +18,7 @@
 
 from larchhall import __version__
 from larchhall.cli import main
+from larchhall.lifecycle.boot import raise_descriptors
 from larchhall.lifecycle.drain import Drain
 from larchhall.wire import frames
 
@@ -172,3 +174,26 @@
     assert checked.exit_code == 0 and checked.output.startswith("n0: ok, 2 classes")
     write_config(tmp_path, listen="x")
     assert CliRunner().invoke(main, ["check-config"]).exit_code == 2
+
+
+@on_uvloop
+async def test_clients_beyond_their_part_are_turned_away_and_the_rest_served() -> None:
+    engine = Engine()
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        assert rig.node.most_clients >= rig.node.config.sockets // 3
+        rig.node.most_clients = 2
+        first, second = await rig.client(), await rig.client()
+        await until(lambda: len(rig.node.clients) == 2)
+        assert await (await rig.client()).ended()
+        for client in (first, second):
+            client.ask()
+            assert (await client.answer())[1] == frames.SERVED
+
+
+def test_the_system_s_own_limit_is_planned_with(monkeypatch: pytest.MonkeyPatch) -> None:
+    limits, told = (30, 100), []
+    monkeypatch.setattr(resource, "getrlimit", lambda which: limits)
+    monkeypatch.setattr(resource, "setrlimit", lambda which, to: told.append(to))
+    assert raise_descriptors(1_024) == 100 and told == [(100, 100)]
+    limits = (50, resource.RLIM_INFINITY)
+    assert raise_descriptors(40) == 40 and len(told) == 1
--- a/tests/test_sockets_engine.py
+++ b/tests/test_sockets_engine.py
@@ -324,3 +324,27 @@
         assert (await client.answer())[:2] == (2, frames.SERVED)
         pool.sweep(broker.now() + pools.AFTER + 1_000 * MS)
         await until(lambda: old.closed)
+
+
+@on_uvloop
+async def test_a_second_copy_answers_and_the_late_first_answer_is_dropped() -> None:
+    asked: list[tuple[bytes, asyncio.StreamWriter]] = []
+
+    def script(engine: Engine, parts: list[bytes], writer: asyncio.StreamWriter) -> None:
+        asked.append((parts[1], writer))
+        if len(asked) > 1:  # whichever engine is asked first stays silent
+            engine.serve(parts, writer)
+    one, two = Engine(script), Engine(script)
+    limits = dict(cancel=False, second_copies=True, send_cap=5, retry_after=True, max_retry_after=2_000 * MS)
+    config = make_config(target("s-1", await one.start()), target("s-2", await two.start()),
+                         policy_limits=limits)
+    async with running(config) as rig:
+        client = await rig.client()
+        client.ask(stream=1, weight="1.0")
+        assert (await client.answer())[:2] == (1, frames.SERVED)
+        asked[0][1].write(resp.encode(asked[0][0], b"served", b"chunks=2", b"late"))
+        silent = one if one.writers and one.writers[0] is asked[0][1] else two
+        await until(lambda: silent.words(b"forget"))
+        client.send(frames.ASK_READY, 0, b"\0")
+        assert (await client.frame())[0] == frames.READY  # no second answer went before it
+        assert len(asked) == 3 and not rig.node.broker.requests
