Each attempt has a connection of its own while descriptors last; cut answers end theirs at once

Lines at fault: state/pools.py send() put up to 32 attempts on one connection, so one spoilt answer was the end of all; wire/engine.py waited without limit for the rest of an answer that had stopped short, while every later answer on it was swallowed as its body; broker.lost() reported a spoilt answer as reset, which the module reads as a dead process. A second copy of a probe's answer was an "unknown word" and ended the connection (_answer). Well-framed noise was served. Ruled out: descriptors (118 of 384 now, 32 before), CPU, memory, the engines' own speed (median 90 to 120 ms throughout).

Now: an idle connection or a new one for each attempt, sharing only past the engine's part; 0.5 s for the rest of an answer that has begun; a spoilt one is reported as given up by us (it may have run); pages are checked as rows of three text columns; what is under no open id is dropped and the connection lives on; a connection that has carried an attempt takes no other of the same id; a probe out of time frees its tag.

--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -242,10 +242,15 @@
         self.count += 1
         tag = b"probe-%d" % self.count
         self.probing[tag] = (engine, now)
-        self.wheel.at(now + self.config.connect_timeout, partial(self.probed, tag, Result.TIMEOUT, ""))
+        self.wheel.at(now + self.config.connect_timeout, partial(self._probe_out_of_time, engine, tag))
         if (pool := self.pools.get(engine)) is not None:
             pool.probe(tag, now)
 
+    def _probe_out_of_time(self, engine: int, tag: bytes) -> None:
+        if (pool := self.pools.get(engine)) is not None:
+            pool.forget_probe(tag)
+        self.probed(tag, Result.TIMEOUT, "")
+
     def _out_of_time(self, attempt: Attempt) -> None:
         self._end(attempt, Result.TIMEOUT if attempt.written else Result.CONNECT_FAILED, None)
 
@@ -276,14 +281,15 @@
         if engine is not None:
             self._report(Probed(engine, result, self.now() - sent, self._load(meter)))
 
-    def lost(self, connection: EngineConnection, why: str) -> None:
-        """Danger: what was open on a connection that ended may have run."""
+    def lost(self, connection: EngineConnection, why: str, spoilt: bool) -> None:
+        """Danger: what was open on a connection that ended may have run. Where a spoilt answer made us end
+        it, that tells nothing of the engine's health: it is reported as given up by us, not as reset."""
         self.pools.lost(connection)
         attempts, connection.open = list(connection.open.values()), {}
         if attempts:
             self.log("engine", f"connection with {len(attempts)} open attempts ended: {why}")
         for attempt in attempts:
-            self._end(attempt, Result.RESET, None)
+            self._end(attempt, Result.CANCELLED if spoilt else Result.RESET, None)
         for tag in connection.probes:
             self.probed(tag, Result.RESET, "")
 
--- a/larchhall/lifecycle/boot.py
+++ b/larchhall/lifecycle/boot.py
@@ -23,7 +23,7 @@
 from .log import Log
 
 BACKLOG = 1_024
-SWEEP = 1.0             # s between looks at idle connections and slow readers
+SWEEP = 0.25            # s between looks at idle connections and slow readers
 LAGGED = 100_000_000    # ns; a tick so late is logged
 SLOW_READER = 30_000_000_000  # ns that a client may leave its answers unread
 UNREAD = 48 << 20       # bytes of answers that all clients together may leave unread
--- a/larchhall/state/pools.py
+++ b/larchhall/state/pools.py
@@ -38,26 +38,37 @@
         return live
 
     def send(self, attempt: Attempt, now: int) -> None:
-        trace = attempt.request.trace
-        # Danger: answers come under the request's id: a second attempt of it needs a connection of its own.
-        free = [c for c in self._usable(now)
-                if len(c.open) < self.pools.streams and trace not in c.open]
-        if free:
-            self._put(min(free, key=lambda c: len(c.open)), attempt, now)
-        else:
+        """Danger: a spoilt answer or a reset ends its connection with all that is open there; so each attempt
+        gets one of its own while this engine's part of the descriptors lasts. Answers come under the
+        request's id, also twice: no other attempt of it uses a connection that carried one."""
+        request = attempt.request
+        free = [c for c in self._usable(now) if len(c.open) < self.pools.streams
+                and request.trace not in c.open and c not in request.carriers]
+        best = min(free, key=lambda c: len(c.open), default=None)
+        if best is None or (best.open and len(self.connections) < self.pools.share()):
             self.waiting.append(attempt)
             self._open()
+        else:
+            self._put(best, attempt, now)
 
     def probe(self, tag: bytes, now: int) -> None:
         usable = self._usable(now)
         if usable:
-            usable[0].probe(tag)
+            min(usable, key=lambda c: len(c.open)).probe(tag)
         else:
             self.probes_waiting.append(tag)
             self._open()
 
+    def forget_probe(self, tag: bytes) -> None:
+        """Danger: a probe whose answer never comes would keep its connection from ever being idle."""
+        for connection in self.connections:
+            connection.probes.discard(tag)
+        if tag in self.probes_waiting:
+            self.probes_waiting.remove(tag)
+
     def _put(self, connection: EngineConnection, attempt: Attempt, now: int) -> None:
         attempt.connection = connection
+        attempt.request.carriers.append(connection)
         connection.open[attempt.request.trace] = attempt
         connection.do(attempt, now)
 
@@ -124,6 +135,7 @@
 
     def sweep(self, now: int) -> None:
         for connection in list(self.connections):
+            connection.check(now)
             if not connection.open and not connection.probes and (
                     connection.retired or now - max(connection.used, connection.heard) > self.pools.idle):
                 connection.close()
@@ -160,6 +172,11 @@
         else:
             self.by_number[number] = EnginePool(self, number, target)
 
+    def share(self) -> int:
+        """Of the connections, for each engine."""
+        live = sum(p.target.state is not EngineState.GONE for p in self.by_number.values())
+        return max(1, self.most // max(1, live))
+
     def make_room(self) -> bool:
         """Danger: descriptors run out and clients can't come in: engines take no more than their part."""
         held = sum(len(p.connections) + (p.opening is not None) for p in self.by_number.values())
--- a/larchhall/state/requests.py
+++ b/larchhall/state/requests.py
@@ -33,6 +33,7 @@
     level: int | None = None
     reserve: int = 0
     attempts: dict[int, Attempt] = field(default_factory=dict)  # those that have not been reported as ended
+    carriers: list[EngineConnection] = field(default_factory=list)  # that have carried an attempt of it
 
 
 @dataclass(slots=True)
--- a/larchhall/wire/engine.py
+++ b/larchhall/wire/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from typing import Protocol, cast
 
 from ..facade import Result
@@ -12,6 +13,8 @@
 MS = 1_000_000
 MOST_PAGES = 1_024
 MOST_RESULT = 256_000  # bytes; what one frame to a client can hold
+PART = 500 * MS        # ns in which an answer that has begun must be whole
+ROWS = re.compile(rb"(?:[^\t\n\0]*\t[^\t\n\0]*\t[^\t\n\0]*\n)*")  # three text columns and a line end each
 WORDS = {b"overload": Result.FULL, b"crashed": Result.ERROR, b"nobody": Result.NOT_SENT}
 HEALTH = {b"green": Result.SERVED, b"red": Result.ERROR}
 
@@ -29,7 +32,7 @@
 
     def late(self, attempt: Attempt, meter: str) -> None: ...
 
-    def lost(self, connection: EngineConnection, why: str) -> None: ...
+    def lost(self, connection: EngineConnection, why: str, spoilt: bool) -> None: ...
 
 
 class EngineConnection(asyncio.Protocol):
@@ -42,7 +45,7 @@
         self.parser = resp.RespParser()
         self.open: dict[bytes, Attempt] = {}
         self.probes: set[bytes] = set()
-        self.heard = self.used = owner.now()
+        self.heard = self.used = self.begun = owner.now()
         self.retired = False  # takes no further sends
         self.closed = False
 
@@ -88,25 +91,37 @@
     def data_received(self, data: bytes) -> None:
         """Danger: a malformed answer leaves the place of the next one unknown: this connection ends, and
         what was open on it may have run."""
+        if self.closed:
+            return
         self.heard = self.owner.now()
+        if not self.parser.buffer:
+            self.begun = self.heard
         try:
             for parts in self.parser.feed(data):
+                self.begun = self.heard
+                self._answer(parts)
                 if self.closed:
                     return
-                self._answer(parts)
         except resp.BadAnswer as error:
-            self._drop(f"malformed answer: {error}")
+            self._drop(f"malformed answer: {error}", spoilt=True)
         except Exception as error:  # no input may raise out of a callback
-            self._drop(f"{type(error).__name__} while reading: {error}")
+            self._drop(f"{type(error).__name__} while reading: {error}", spoilt=True)
+
+    def check(self, now: int) -> None:
+        """Danger: an answer that stops short on an open connection swallows all answers behind it, and what
+        is sent there later is never heard of again."""
+        if self.parser.buffer and now - self.begun > PART:
+            self._drop("an answer stopped short", spoilt=True)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._drop("closed by the engine" if exc is None else str(exc))
+        self._drop("closed by the engine" if exc is None else str(exc), spoilt=False)
 
-    def _drop(self, why: str) -> None:
+    def _drop(self, why: str, spoilt: bool) -> None:
         if not self.closed:
             self.closed = self.retired = True
+            self.parser.buffer.clear()
             self.close()
-            self.owner.lost(self, why)
+            self.owner.lost(self, why, spoilt)
 
     def _answer(self, parts: list[bytes]) -> None:
         if len(parts) != 4:
@@ -114,22 +129,21 @@
         tag, word, raw_fields, body = parts
         fields = resp.read_pairs(raw_fields)
         meter = fields.get("meter", "")
-        if tag in self.probes and word in HEALTH:
-            self.probes.discard(tag)
-            self.owner.probed(tag, HEALTH[word], meter)
-            return
-        attempt = self.open.get(tag)
-        if word == b"served":
+        if word in HEALTH:
+            if tag in self.probes:
+                self.probes.discard(tag)
+                self.owner.probed(tag, HEALTH[word], meter)
+        elif word not in WORDS and word not in (b"served", b"rows"):
+            raise resp.BadAnswer(f"unknown word {word[:40]!r}")
+        elif (attempt := self.open.get(tag)) is None:
+            return  # a second copy, or more than was asked for: it belongs to nothing that is open here
+        elif word == b"served":
             self._served(tag, attempt, fields, body, meter)
         elif word == b"rows":
             self._page(tag, attempt, fields, body, meter)
-        elif word in WORDS:
-            if attempt is not None:
-                # A page that its engine lost also ends here: it may have run, and is no short result.
-                result = Result.ERROR if attempt.pages else WORDS[word]
-                self._over(tag, attempt, result, meter)
         else:
-            raise resp.BadAnswer(f"unknown word {word[:40]!r}")
+            # A page that its engine lost also ends here: it may have run, and is no short result.
+            self._over(tag, attempt, Result.ERROR if attempt.pages else WORDS[word], meter)
 
     def _over(self, tag: bytes, attempt: Attempt, result: Result, meter: str) -> None:
         del self.open[tag]
@@ -138,13 +152,11 @@
         else:
             self.owner.ended(attempt, result, meter)
 
-    def _served(self, tag: bytes, attempt: Attempt | None, fields: dict[str, str], body: bytes,
-                meter: str) -> None:
+    def _served(self, tag: bytes, attempt: Attempt, fields: dict[str, str], body: bytes, meter: str) -> None:
+        if attempt.pages:
+            return  # a second copy
         chunks = _count(fields.get("chunks", "1"), "chunks")
-        if attempt is None or attempt.pages:
-            return  # a second answer
-        if len(body) > MOST_RESULT:
-            raise resp.BadAnswer("a result larger than an answer can hold")
+        _check_rows(body)
         if not attempt.wanted():
             # Answered elsewhere, timed out, or the client left: the pages behind this one are not wanted.
             if chunks > 1:
@@ -161,13 +173,13 @@
             self.used = self.heard
             self.transport.write(b"".join(resp.encode(b"page", tag, b"%d" % n) for n in range(1, chunks)))
 
-    def _page(self, tag: bytes, attempt: Attempt | None, fields: dict[str, str], body: bytes,
-              meter: str) -> None:
+    def _page(self, tag: bytes, attempt: Attempt, fields: dict[str, str], body: bytes, meter: str) -> None:
         at = _count(fields.get("at", ""), "at")
-        if attempt is None or not attempt.pages or not 0 < at < len(attempt.pages):
-            if attempt is not None and not attempt.reported:
+        if not attempt.pages or not 0 < at < len(attempt.pages):
+            if not attempt.reported:
                 raise resp.BadAnswer(f"page {at} was not asked for")
             return
+        _check_rows(body)
         if not attempt.wanted():
             self._write(self.heard, b"forget", tag)
             self._over(tag, attempt, Result.SERVED, meter)
@@ -183,6 +195,16 @@
             self.owner.whole(attempt, meter)
 
 
+def _check_rows(page: bytes) -> None:
+    """Danger: noise in a good frame would be served as a result."""
+    try:
+        page.decode()
+    except UnicodeDecodeError:
+        raise resp.BadAnswer("a page that is no text") from None
+    if ROWS.fullmatch(page) is None:
+        raise resp.BadAnswer("a page that is no rows of three columns")
+
+
 def _count(text: str, name: str) -> int:
     if not text.isdecimal() or int(text) > MOST_PAGES:
         raise resp.BadAnswer(f"{name}: {text[:20]!r} is no count up to {MOST_PAGES}")
--- a/larchhall/wire/resp.py
+++ b/larchhall/wire/resp.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Iterator
 
-MOST_BULK = 262_144
-MOST_PARTS = 16
+MOST_BULK = 65_536  # of one page, which holds 6,000 bytes; a statement goes the other way
+MOST_PARTS = 4
 MOST_LINE = 32
 
 
