--- a/tests/test_sockets_engine.py
+++ b/tests/test_sockets_engine.py
@@ -10,11 +10,12 @@
 
 from larchhall.broker import Ask, Broker
 from larchhall.state import pools
+from larchhall.state.requests import Attempt, OpenRequest
 from larchhall.state.wheel import Clock
 from larchhall.wire import frames, resp
 from larchhall.wire.bus import parse_event
 
-from .sockets import MS, TRACE, Engine, event, make_config, on_uvloop, running, target, until
+from .sockets import MS, STATEMENT, TRACE, Engine, event, make_config, on_uvloop, running, target, until
 
 
 def closed_port() -> int:
@@ -76,7 +77,11 @@
 async def test_what_may_have_run_is_a_failed_load_and_never_sent_twice() -> None:
     cases = [always(b"crashed"), rude(b""), rude(b"-ERR\r\n"), always(b"what"),
              rude(resp.encode(TRACE.encode(), b"served", b"chunks=x", b"")),
-             rude(resp.encode(TRACE.encode(), b"served", b"chunks=1", b"x" * 256_001))]
+             rude(resp.encode(TRACE.encode(), b"served", b"chunks=1", b"x" * 256_001)),
+             rude(b"*4\r\n$3000000000\r\n"),
+             rude(resp.encode(TRACE.encode(), b"rows", b"at=1", b"1\ta\tb\n")),
+             *(rude(resp.encode(TRACE.encode(), b"served", b"chunks=1", page)) for page in (
+                 b"1\ta\n", b"1\ta\tb", b"1\ta\tb\tc\n", b"\xff\ta\tb\n", b"1\ta\tb\n\n", b"noise"))]
     for engine in cases:
         other = Engine()
         async with running(make_config(target("s-1", await engine.start()))) as rig:
@@ -97,20 +102,76 @@
             assert (await client.answer())[:2] == (stream, frames.SERVED)
 
 
+ROW = b"1\ta\tb\n"
+GOOD = resp.encode(TRACE.encode(), b"served", b"chunks=1", ROW)
+
+
+@pytest.mark.parametrize("data", [
+    GOOD * 2, resp.encode(b"f" * 16, b"served", b"chunks=9", ROW) + GOOD,
+    resp.encode(b"f" * 16, b"rows", b"at=x", ROW) + GOOD,
+    resp.encode(b"f" * 16, b"crashed", b"-", b"") + GOOD,
+    resp.encode(b"probe-1", b"green", b"-", b"") * 2 + GOOD],
+    ids=["a second copy", "an unknown id", "an unknown page", "an unknown end", "probes twice"])
 @on_uvloop
-async def test_a_second_answer_is_dropped() -> None:
+async def test_what_belongs_to_nothing_open_is_dropped_and_the_connection_lives_on(data: bytes) -> None:
     def script(engine: Engine, parts: list[bytes], writer: asyncio.StreamWriter) -> None:
         if parts[0] == b"do":
-            writer.write(resp.encode(parts[1], b"served", b"chunks=1", b"1\ta\tb\n") * 2)
+            writer.write(data.replace(TRACE.encode(), parts[1]))
     engine = Engine(script)
     async with running(make_config(target("s-1", await engine.start()))) as rig:
         client = await rig.client()
         for stream in (1, 2):
             client.ask(stream=stream, trace=f"{stream:016x}")
-            assert (await client.answer())[:2] == (stream, frames.SERVED)
+            assert (await client.answer())[1:] == (frames.SERVED, {}, ROW)
         assert len(engine.writers) == 1
 
 
+@on_uvloop
+async def test_no_second_attempt_goes_where_a_second_copy_of_the_first_s_answer_may_still_come() -> None:
+    engine = Engine()
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client, broker = await rig.client(), rig.node.broker
+        client.ask()
+        await client.answer()
+        pool = next(iter(broker.pools.by_number.values()))
+        [first] = pool.connections
+        for carriers, same in (([], True), ([first], False)):
+            end = broker.now() + 9_000 * MS
+            request = OpenRequest("9", b"9" * 16, b"lookup", STATEMENT, Waiter(), 1, end, carriers=carriers)
+            attempt = Attempt(request, 1, pool.number, broker.now(), request.deadline)
+            pool.send(attempt, broker.now())
+            await until(lambda: attempt.reported)  # noqa: B023
+            assert (attempt.connection is first) == same
+
+
+@pytest.mark.parametrize("data", [
+    b"*4\r\n$16\r\n" + TRACE.encode() + b"\r\n$6\r\nserved\r\n$8\r\nchunks=1\r\n$40\r\n1\ta",
+    b"*4\r\n$16\r\n", b"*"], ids=["in the body", "after the id", "after a byte"])
+@on_uvloop
+async def test_an_answer_that_stops_short_ends_its_connection_alone_and_soon(data: bytes) -> None:
+    asked: list[bytes] = []
+
+    def script(engine: Engine, parts: list[bytes], writer: asyncio.StreamWriter) -> None:
+        asked.append(parts[1])
+        if len(asked) == 2:
+            writer.write(data)
+        elif len(asked) > 2:
+            engine.serve(parts, writer)
+    engines = [Engine(script), Engine(script)]
+    config = make_config(*[target(f"s-{n}", await engine.start()) for n, engine in enumerate(engines)])
+    async with running(config) as rig:
+        client = await rig.client()
+        client.ask(stream=1, route="till-load", patience="20000", trace="1" * 16, weight="1.0")
+        await until(lambda: len(asked) == 1)
+        client.ask(stream=2, patience="4000")
+        assert (await client.answer())[:2] == (2, frames.SERVED)  # tried again, well before its time is up
+        assert asked == [b"1" * 16, TRACE.encode(), TRACE.encode()]
+        assert not any(e.suspect for e in rig.node.broker.facade.controller.engines.values())
+        first = next(e for e in engines if e.words(b"do") and e.words(b"do")[0][1] == asked[0])
+        first.serve(first.words(b"do")[0], first.writer_of(first.words(b"do")[0]))
+        assert (await client.answer())[:2] == (1, frames.SERVED)  # it had a connection of its own
+
+
 @on_uvloop
 async def test_a_connection_takes_no_more_streams_than_the_settings_allow() -> None:
     engine = Engine(lambda *_: None)
@@ -314,6 +375,7 @@
     engine = Engine(lambda *_: None)
     async with running(make_config(target("s-1", await engine.start()))) as rig:
         client, broker = await rig.client(), rig.node.broker
+        broker.pools.most = 1  # so that both share a connection
         client.ask(stream=1, patience="200", weight="100.0")
         assert (await client.answer())[1] == frames.REFUSED
         client.ask(stream=2, patience="20000", route="till-load", trace="2" * 16)
