Bad clients' figures, repeated ids and half frames move nothing and reach no engine

Now: an id must be new on its connection, and an open one goes with its own statement alone; numbers are read strictly; a statement is text; fields come once; patience is cut to its class's; 32 frames a turn; statements, half frames and unread answers are bounded by the memory told. Means are learned from what is sent; a second error ends a request, and blames engines only if another one serves it; one reset excludes nothing. Books of data sets, loads, timers and engine uids are let go.

--- a/larchhall/books.py
+++ b/larchhall/books.py
@@ -5,6 +5,7 @@
 import math
 from collections import deque
 from dataclasses import dataclass, field
+from typing import Any
 
 from . import interface as api
 
@@ -65,6 +66,7 @@
     out: dict[int, Attempt] = field(default_factory=dict)
     tried: list[int] = field(default_factory=list)
     may_have_run: list[Attempt] = field(default_factory=list)
+    erred: list[Any] = field(default_factory=list)  # engines that answered it with an error
     done: bool = False
 
     def run_time(self) -> int:
@@ -77,8 +79,6 @@
 class TokenBucket:
     """``rate`` tokens a nanosecond, ``most`` saved up; full at the start."""
 
-    __slots__ = ("rate", "most", "tokens", "at")
-
     def __init__(self, rate: float, most: float, now: int) -> None:
         self.rate, self.most, self.tokens, self.at = rate, most, most, now
 
@@ -94,8 +94,6 @@
 class SlidingSum:
     """What was added within the last ``span`` nanoseconds; nothing is kept where the span is 0."""
 
-    __slots__ = ("span", "items", "total")
-
     def __init__(self, span: int) -> None:
         self.span, self.total = span, 0
         self.items: deque[tuple[int, int]] = deque()
@@ -114,8 +112,6 @@
 class FadingMean:
     """The mean over time of a value that holds until the next is noted; the past fades over ``memory``."""
 
-    __slots__ = ("memory", "value", "mean", "at_time")
-
     def __init__(self, memory: int, now: int) -> None:
         self.memory, self.value, self.mean, self.at_time = memory, 0.0, 0.0, now
 
--- a/larchhall/brain.py
+++ b/larchhall/brain.py
@@ -1,7 +1,6 @@
 """Every decision of the gateway. Types, events and actions: `interface.py` (read that first).
 
-Order of the file: constants, the fuzzy step, classes and engines, then the life of a request, the one-second
-period and the news of the list. Times are integer nanoseconds, backlogs integer thread-nanoseconds.
+Times are integer nanoseconds, backlogs integer thread-nanoseconds.
 """
 
 from __future__ import annotations
@@ -56,6 +55,7 @@
 LEARN = 0.1             # weight of one answer in an engine's mean slowdown
 BEST_DRIFT = 0.01       # share of the gap by which an engine's best slowdown rises at each period
 ERROR_LEARN = 0.2       # weight of one outcome in an engine's failure share
+ONE_RESET = 0.3         # more than one reset adds to that share; a second soon after tells of a dead process
 SILENCE = 1.0           # of the shortest aim: an engine that owes answers and gives none for so long
 TRIAL_GAP = PERIOD      # between single trials on an engine held to be out or full; so long full is pressure
 # --- Attempts and guards ---
@@ -132,8 +132,7 @@
         if self.backlog == 0 or not (self.pressed(now) or crowd > 1):
             return True
         self.bound_used = True
-        # Danger: past two threads a core an engine does less in all, and the delays that would lower the
-        # bound come only after the jam: the bound shrinks at once by how far our threads pass our share.
+        # Danger: delays tell of a jam only after it: the bound shrinks at once as our threads pass our share.
         return self.backlog + size <= self.bound * room / max(1.0, crowd) ** CROWDING
 
     def learn(self, ratio: float) -> None:
@@ -145,8 +144,7 @@
         """d_t(k) = d_t(k-1) + fuzzy step of e(k) = 1 - s(k) and its change, held to [0, ceiling]."""
         self.best += BEST_DRIFT * (self.slowdown - self.best)
         if not self.delays or not self.bound_used:
-            # An empty period, or one in which nothing was tested against the bound. Danger: windup; quiet
-            # periods would raise the bound to its ceiling and let the next jump in traffic in whole.
+            # Danger: windup; periods without a test would raise the bound and let the next jump in whole.
             self.bound += EMPTY_STEP * (self.start - self.bound)
             self.last_error = None
         else:
@@ -193,8 +191,7 @@
         return max(r.utilisation or 0.0, r.memory or 0.0, r.disk or 0.0, min(1.0, r.queue or 0.0))
 
     def load(self) -> float:
-        """Threads a core: reported utilisation plus sends since, never below our own outstanding sends.
-        Danger: one late report shows an engine idle and tilts every gateway's draw toward it."""
+        """Threads a core: reported plus sends since; never below our own, since a report may be late."""
         since = self.threads_since_report if self.report is not None else 0
         return max(self.threads_out, self.busy() * self.cores + since) / self.cores
 
@@ -279,23 +276,21 @@
                           event.key if view.spec.in_order else None, beyond, now,
                           max(0.0, event.memory_mb or 0.0))
         self.requests[request.id] = request
-        self.mean_worth += YIELD_LEARN * (view.spec.worth - self.mean_worth)
-        self.mean_work += YIELD_LEARN * (request.work - self.mean_work)
         if request.key is not None:
             self.queues.setdefault(request.key, deque()).append(request)
         if event.patience <= 2 * self.settings.tick or self._waits_too_long(now, request):
             self._finish(now, request)
             return
-        # Rule 1: the one timer that guarantees a final answer, a tick before the client gives up.
-        self._timer(request.deadline - self.settings.tick, self._finish, request)
         if request.key is not None:
             self._serve_key(now, request.key)
         else:
             self._admit(now, request)
+        # Rule 1: a final answer a tick before the client gives up. Danger: a refused flood kept until then.
+        if not request.done:
+            self._timer(request.deadline - self.settings.tick, self._finish, request)
 
     def _waits_too_long(self, now: int, request: Request) -> bool:
-        """Danger: a key's requests run one at a time; a queue longer than the aim makes all of them late and
-        sends the last with no time left. The design's refusal at once, for a key in place of an engine. """
+        """Danger: a key's requests run one at a time; a queue longer than the aim makes all of them late."""
         if request.key is None or len(self.queues[request.key]) == 1:
             return False
         wait = self.views[request.spec.name].expected_time(request.work)
@@ -319,16 +314,14 @@
     def _fits(self, now: int, request: Request, engine: Engine) -> bool:
         """The design's test. Work beyond a tenant's share sees a smaller bound, under pressure only."""
         size, threads = engine.size(request.work), request.spec.threads
-        # Danger: large work fills the bound and shuts out small queries that pay more for theirs: each sees
-        # the bound times its worth per work against the mean of what arrives.
+        # Danger: large work shuts out small queries that pay more for theirs: each sees its worth per work.
         room = request.spec.worth / request.work * self.mean_work / self.mean_worth
         room *= OVER_SHARE_ROOM if request.over_share else 1.0
         return (engine.fits(now, size, threads, room)
                 and (not self.thin or self.pool.fits(now, size, threads, room)))
 
     def _look(self, now: int, request: Request, engines: list[Engine]) -> bool:
-        """Probe a few engines drawn as for a send, and wait for their reports. Danger: with many gateways
-        the last report of an engine is seconds old and hides what others sent."""
+        """Probe a few engines and wait. Danger: with many gateways the last reports hide what others sent."""
         if (request.looked or not self.thin or not self.limits.probes or len(engines) <= LOOKS
                 or self.look_tokens < LOOKS or all(e.report is None for e in engines)
                 or request.spec.worth < LOOK_WORTH * max(c.worth for c in self.settings.classes)):
@@ -394,6 +387,8 @@
     def _rank(self, data_set: int, engine: Engine) -> float:
         """Place of the engine, from 0 to below 1, in the data set's own order of the listed engines."""
         if data_set not in self.ranks:
+            if len(self.ranks) > 1_000:  # danger: a client can name any number of data sets
+                self.ranks.clear()
             order = sorted(self.engines, key=lambda e: hashlib.blake2b(b"%d/%d" % (data_set, e)).digest())
             self.ranks[data_set] = {e: i / len(order) for i, e in enumerate(order)}
         return self.ranks[data_set].get(engine.entry.engine, 0.0)
@@ -446,8 +441,7 @@
             return True
         budget = (self.contract.cold_from * engine.cores * self.contract.fall * self.contract.fall_multiple
                   / COLD_SAFETY)
-        # Danger: with many gateways each one's share is under one query, and a room that came back idles till
-        # it is warm: shares are drawn, so that the fleet's sum comes out; no query may be a large part of it.
+        # Danger: with many gateways a share is under one query and a fresh room idles: shares are drawn.
         mine = budget / self.settings.fleet_size
         if self.thin:
             if now >= engine.cold_redraw:
@@ -472,6 +466,9 @@
             return False
         if request.sends > 0:
             self.further.add(now)
+        else:  # danger: what never fits must not move what others are held to
+            self.mean_worth += YIELD_LEARN * (request.spec.worth - self.mean_worth)
+            self.mean_work += YIELD_LEARN * (request.work - self.mean_work)
         attempt = Attempt(request.sends, engine.entry.engine, now, engine.size(request.work),
                           engine.load() < CALM_LOAD and not engine.pressed(now), engine.suspect)
         if (self.settings.priorities_heeded or self.settings.grants_heeded) and request.sends == 0:
@@ -554,22 +551,28 @@
         self.pool.held.note(now, self.pool.threads_out)
         if request.spec.is_load:
             self.held_sets[(engine.entry.engine, request.data_set)] += sign
+            self.held_sets += Counter()  # danger: zeros of engines and sets that came and went would pile up
 
     def _judge(self, now: int, engine: Engine, request: Request, attempt: Attempt,
                event: api.AttemptOutcome) -> None:
         """Health and the controller's delay. Danger: an engine that fails fast looks quick to the draw."""
         if event.report is not None:
             engine.report, engine.threads_since_report = event.report, 0
-        bad = event.result in (Result.ERROR, Result.RESET, Result.CONNECT_FAILED)
-        if event.result in (Result.TIMEOUT, Result.ERROR, Result.RESET):
+        bad = event.result in (Result.RESET, Result.CONNECT_FAILED)
+        if event.result in (Result.TIMEOUT, Result.RESET):
             for loop in (engine, self.pool):
                 loop.delays.append(TIMEOUT_SCORE)
+        if event.result is Result.ERROR:
+            request.erred.append(engine)
         if bad or event.result is Result.SERVED:
-            engine.failures += ERROR_LEARN * (bad - engine.failures)
-            self._foretell(engine, bad)
+            self._blame(engine, bad)
+        if event.result is Result.SERVED:  # danger: an error may be the client's fault, but not where served
+            for other in request.erred:
+                self._blame(other, True)
         if event.result is Result.FULL:
             engine.full_until = self.pool.full_until = now + TRIAL_GAP
-        if event.result in (Result.CONNECT_FAILED, Result.RESET):
+        if event.result is Result.CONNECT_FAILED or (event.result is Result.RESET
+                                                     and engine.failures > ONE_RESET):
             engine.suspect, engine.next_trial = True, now + TRIAL_GAP
         if event.result is not Result.SERVED:
             return
@@ -586,19 +589,22 @@
         if attempt.calm:
             view.learn(request.estimate, event.latency)
 
+    def _blame(self, engine: Engine, bad: bool) -> None:
+        engine.failures += ERROR_LEARN * (bad - engine.failures)
+        self._foretell(engine, bad)
+
     def _foretell(self, engine: Engine, bad: bool) -> None:
-        """Danger: a room or a kind is lost at once and one of many gateways meets each engine too seldom to
-        tell; failures and silences of a few foretell the rest. All alike: nobody is set back."""
+        """Danger: a room or a kind is lost at once: failures and silences of a few foretell the rest."""
         for group in (engine.entry.zone, engine.entry.kind):
             self.groups[group] += ERROR_LEARN * (bad - self.groups[group])
 
     def _further(self, now: int, request: Request) -> bool:
-        """Another attempt where the rules allow one. Danger: repeats feed the jam that caused them: none goes
-        to an engine under pressure (or past the pool's bound), none that would not be over in time."""
+        """Another attempt where the rules allow. Danger: repeats feed the jam that caused them: none under
+        pressure or too late to be over in time, none of what two engines answered with an error."""
         able = [e for e in self.engines.values() if self._may_send(now, request, e)
                 and (self._fits(now, request, e) if self.thin else not e.pressed(now))]
         fit = [e for e in able if e.entry.engine not in request.tried] or able
-        return (bool(fit) and request.deadline - now > request.run_time()
+        return (bool(fit) and len(request.erred) < 2 and request.deadline - now > request.run_time()
                 and self._send(now, request, self._draw(request, fit)))
 
     # --- The final answer ---
@@ -644,8 +650,7 @@
             self._serve_key(now, request.key)
 
     def _serve_key(self, now: int, key: str) -> None:
-        """Rule 5: only the oldest request of a key may be out, and not while the key rests. Danger: a
-        refusal here settles its request and asks for the next of the key: a loop, not a recursion."""
+        """Rule 5: the oldest request of a key alone may be out. A refusal asks for the next: no recursion."""
         if key in self.serving:
             return
         self.serving.add(key)
@@ -676,8 +681,7 @@
         self.pool.strain = min(1.0, sum(known) / len(known) / BORNE_OUT) ** 2 if known else 1.0
 
     def _measure_pool(self) -> None:
-        """The pool's loop after news of the list. Danger: with many gateways our share of one engine is under
-        one query, "nothing outstanding" lets all in, no engine's own loop hears enough to act."""
+        """Danger: with many gateways a share is under one query; no engine's own loop hears enough to act."""
         ready = [e for e in self.engines.values() if e.entry.state is EngineState.READY]
         before, self.pool.start = self.pool.start, sum(e.start for e in ready)
         self.pool.bound = self.pool.bound / before * self.pool.start if before > 0 else self.pool.start
--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+import re
 import traceback
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -37,9 +38,10 @@
 
 MS = 1_000_000
 MOST_PATIENCE_MS = 3_600_000.0
-MOST_ESTIMATE = 1e9      # milliseconds, megabytes
+MOST_ESTIMATE = 1e7      # milliseconds, megabytes
 WAY_BACK = 10 * MS       # of a request's patience, for its way here and the answer's way back
-MOST_HELD = 48 << 20     # bytes of statements held for open requests
+BASE_MB = 24             # what the process takes with nothing in hand, and some room
+LEAST_ROOM = 2 << 20     # bytes
 HELD_PAUSE_MS = 1_000
 LEAST_ENGINES = 4        # connections to engines, whatever the limit
 RESERVED = (24, 96)      # descriptors for the listener, the bus, the log and some in hand: an eighth, within
@@ -47,18 +49,18 @@
          "x0": "memory", "x1": "disk"}
 
 
+NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?([eE][+-]?[0-9]{1,2})?")
+
+
 class Unusable(Exception):
     """A request that cannot be used, although its frame can be read: one failed answer."""
 
 
 def read_number(text: str, name: str) -> float:
-    try:
-        value = float(text)
-    except ValueError:
-        raise Unusable(f"{name}: {text[:40]!r} is no number") from None
-    if not 0 <= value < math.inf:
-        raise Unusable(f"{name}: {text[:40]!r} is out of range")
-    return value
+    """Danger: `float` alone also takes signs, NaN, infinity, underscores and the digits of other scripts."""
+    if NUMBER.fullmatch(text) is None:
+        raise Unusable(f"{name}: {text[:40]!r} is no number from 0 up")
+    return float(text)
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +85,7 @@
         settings = config.settings
         self.wheel = Wheel(settings.tick, now)
         self.facade = Facade(settings, config.seed, now, self.wheel)
-        self.routes = {c.name for c in settings.classes}
+        self.deadlines = {c.name: c.deadline for c in settings.classes}
         self.customers = {t.name for t in settings.tenants}
         self.engines = EngineTable()
         # Engines get a quarter of the descriptors: a few connections each. Danger: clients, of whom many ask
@@ -95,10 +97,14 @@
                            connect_timeout=config.connect_timeout, conn_idle=config.conn_idle,
                            most=most, unsent=self._unsent)
         self.requests: dict[str, OpenRequest] = {}
+        self.ids: dict[bytes, list[OpenRequest]] = {}  # the open requests again, by the client's id
         self.probing: dict[bytes, tuple[int, int]] = {}
         self.later: list[tuple[Attempt, Result]] = []
         self.count = 0
         self.held = 0
+        # Danger: past its memory the process is killed, with all that it had taken. A quarter each of what is
+        # left goes to statements of open requests, frames that are half here, and answers nobody reads.
+        self.room = max(LEAST_ROOM, (config.memory_mb - BASE_MB << 20) // 4)
 
     def now(self) -> int:
         return self.clock.now()
@@ -107,7 +113,7 @@
 
     def submit(self, client: Client, stream: int, ask: Ask) -> OpenRequest:
         """Take a request. Danger: nothing malformed may reach an engine or the decisions."""
-        if ask.route not in self.routes:
+        if ask.route not in self.deadlines:
             raise Unusable(f"route: {ask.route[:40]!r} is no class of the settings")
         if not 1 <= ask.patience_ms <= MOST_PATIENCE_MS:
             raise Unusable(f"patience: must be 1 to {MOST_PATIENCE_MS:.0f} ms")
@@ -115,13 +121,19 @@
             raise Unusable("weight or ram: is out of range")
         if self.customers and ask.customer not in self.customers:
             raise Unusable(f"customer: {(ask.customer or '')[:40]!r} is none of the settings")
+        trace = ask.trace.encode()
+        for other in self.ids.get(trace, ()):
+            if (other.route, other.statement) != (ask.route.encode(), ask.statement):
+                # Danger: the engine takes it for the open one, and answers one of them with the other's rows.
+                raise Unusable("trace: is open with another statement")
         now = self.now()
-        patience = int(ask.patience_ms * MS)
+        # Danger: books kept for an hour, since a client says that it waits so long: its class ends sooner.
+        patience = min(int(ask.patience_ms * MS), self.deadlines[ask.route])
         patience -= min(WAY_BACK, patience // 4)
         self.count += 1
-        request = OpenRequest(str(self.count), ask.trace.encode(), ask.route.encode(), ask.statement, client,
+        request = OpenRequest(str(self.count), trace, ask.route.encode(), ask.statement, client,
                               stream, now + patience)
-        if self.held + len(ask.statement) > MOST_HELD:
+        if self.held + len(ask.statement) > self.room:
             # Danger: a flood of large statements ends the process for memory, and all that it had taken.
             self.log("client", "no room for another statement: refused")
             request.client = None
@@ -129,6 +141,7 @@
             return request
         self.held += len(ask.statement)
         self.requests[request.id] = request
+        self.ids.setdefault(trace, []).append(request)
         query = Query(request.id, ask.route, patience, ask.customer or None, int(ask.weight_ms * MS),
                       ask.ram_mb, ask.data_set, ask.retry)
         try:
@@ -172,6 +185,7 @@
             for known in self.engines.by_number.values():
                 self.pools.learn(known.number, known.target)
         self._report(EngineNews(event.full, entries))
+        self.engines.let_go()
 
     def close_out_all(self) -> None:
         """The process is about to end: what is open gets the answer that the rules allow."""
@@ -319,4 +333,7 @@
         gone = request.client is None and not request.attempts
         if gone and self.requests.pop(request.id, None) is not None:
             self.held -= len(request.statement)
+            self.ids[request.trace].remove(request)
+            if not self.ids[request.trace]:
+                del self.ids[request.trace]
             self.facade.forget(request.id)
--- a/larchhall/config.py
+++ b/larchhall/config.py
@@ -19,13 +19,16 @@
            "non_idempotent": api.Effect.UNSAFE}
 SCOPES = {scope.value: scope for scope in api.Scope}
 DEFAULT_SOCKETS = 1_024
+DEFAULT_MEMORY = 64  # MB
 DEFAULT_CONNECT_TIMEOUT = 250_000_000  # ns
 DEFAULT_CONN_IDLE = 30_000_000_000     # ns
 DEFAULT_STREAMS = 32
 LEAST_SOCKETS = 64
+LEAST_MEMORY = 32
 MISSING = object()
 # Read at the start alone: the fields of Config, by the key that an operator writes. `bus` is read again.
 FIXED = {"name": "name", "host": "listen", "port": "listen", "seed": "seed", "sockets": "limits.sockets",
+         "memory_mb": "limits.memory_mb",
          "connect_timeout": "settings.policy_limits.connect_timeout", "settings": "settings",
          "conn_idle": "settings.policy_limits.conn_idle",
          "streams": "settings.policy_limits.streams_per_conn"}
@@ -153,6 +156,7 @@
     port: int
     seed: int
     sockets: int
+    memory_mb: int
     bus: tuple[str, int] | None
     known_offset: int
     known: tuple[BusEvent, ...]
@@ -208,6 +212,8 @@
         seed=seed_number,
         sockets=_at_least(LEAST_SOCKETS, get(limits, "limits.sockets", "whole number", DEFAULT_SOCKETS),
                           "limits.sockets"),
+        memory_mb=_at_least(LEAST_MEMORY, get(limits, "limits.memory_mb", "whole number", DEFAULT_MEMORY),
+                            "limits.memory_mb"),
         bus=_address(bus, "bus") if bus else None,
         known_offset=get(known, "known.offset", "whole number", events[-1].offset if events else 0),
         known=events, connect_timeout=connect_timeout, conn_idle=conn_idle, streams=streams,
--- a/larchhall/lifecycle/boot.py
+++ b/larchhall/lifecycle/boot.py
@@ -26,7 +26,6 @@
 SWEEP = 0.25            # s between looks at idle connections and slow readers
 LAGGED = 100_000_000    # ns; a tick so late is logged
 SLOW_READER = 30_000_000_000  # ns that a client may leave its answers unread
-UNREAD = 48 << 20       # bytes of answers that all clients together may leave unread
 
 
 def raise_descriptors(wanted: int) -> int:
@@ -52,6 +51,7 @@
         # Danger: a flood of clients takes every descriptor, and none is left to reach an engine.
         self.most_clients = self.broker.most_clients
         self.clients: set[ClientConnection] = set()
+        self.partial = 0  # bytes of frames that are not whole yet
         self.server: asyncio.Server | None = None
         self.feed: Feed | None = None
         self.listed = False
@@ -177,7 +177,7 @@
         unread = 0
         for client in sorted(self.clients, key=ClientConnection.unread):
             unread += client.unread()
-            if unread > UNREAD or (client.paused_at and now - client.paused_at > SLOW_READER):
+            if unread > self.broker.room or (client.paused_at and now - client.paused_at > SLOW_READER):
                 self.log("client", "unread answers are given up, their connection closed")
                 client.drop()
 
--- a/larchhall/state/engines.py
+++ b/larchhall/state/engines.py
@@ -32,7 +32,7 @@
         return number
 
     def learn(self, event: BusEvent) -> tuple[EngineEntry, ...]:
-        """Take the news in; returns it with the module's numbers. A uid keeps its number for good."""
+        """Take the news in; returns it with the module's numbers. A uid keeps its number."""
         targets = list(event.targets)
         if not event.full:
             # A listener at this address is another engine now, so the one that had it has gone.
@@ -54,6 +54,13 @@
                                        target.weight, target.started))
         return tuple(entries)
 
+    def let_go(self) -> None:
+        """Danger: engines come under new uids for as long as we run. What has gone is known by its pool until
+        the last answer; should its uid come again, the hash gives it its number again."""
+        for uid, known in list(self.by_uid.items()):
+            if known.target.state is EngineState.GONE:
+                del self.by_uid[uid], self.by_number[known.number]
+
 
 def _gone(target: Target) -> Target:
     return Target(target.uid, target.host, target.port, target.zone, target.kind, target.cell,
--- a/larchhall/state/pools.py
+++ b/larchhall/state/pools.py
@@ -45,7 +45,7 @@
         free = [c for c in self._usable(now) if len(c.open) < self.pools.streams
                 and request.trace not in c.open and c not in request.carriers]
         best = min(free, key=lambda c: len(c.open), default=None)
-        if best is None or (best.open and len(self.connections) < self.pools.share()):
+        if best is None or (best.open and len(self.connections) < self.pools.share() and self.pools.room()):
             self.waiting.append(attempt)
             self._open()
         else:
@@ -177,10 +177,16 @@
         live = sum(p.target.state is not EngineState.GONE for p in self.by_number.values())
         return max(1, self.most // max(1, live))
 
+    def _held(self) -> int:
+        return sum(len(p.connections) + (p.opening is not None) for p in self.by_number.values())
+
+    def room(self) -> bool:
+        """For one more, with nothing closed for it."""
+        return self._held() < self.most
+
     def make_room(self) -> bool:
         """Danger: descriptors run out and clients can't come in: engines take no more than their part."""
-        held = sum(len(p.connections) + (p.opening is not None) for p in self.by_number.values())
-        if held <= self.most:
+        if self._held() <= self.most:  # the one that is opening counts already
             return True
         for pool in self.by_number.values():
             for connection in pool.connections:
--- a/larchhall/wire/client.py
+++ b/larchhall/wire/client.py
@@ -20,6 +20,7 @@
 IDLE = 5 * S             # ns; usual clients close after 4 s idle
 LINGER = 1 * S           # ns that a broken connection is read on, so that the error is not lost with a reset
 MOST_DISCARDED = 1 << 20  # bytes read on in that time
+TURN = 32                # frames of one connection before everybody else's turn
 HEX = frozenset("0123456789abcdefABCDEF")
 
 
@@ -27,6 +28,7 @@
     """The side of the broker that admits clients."""
 
     broker: Broker
+    partial: int
 
     def ready(self) -> bool: ...
 
@@ -44,6 +46,12 @@
     trace = fields["trace"]
     if len(trace) != MOST_TRACE or not HEX.issuperset(trace):
         raise Unusable("trace: is not 16 hex digits")
+    try:
+        statement.decode()
+    except UnicodeDecodeError:
+        raise Unusable("the statement is no text") from None
+    if not statement.strip() or b"\0" in statement:
+        raise Unusable("the statement is empty or no text")
     if fields.get("redo", "1") not in ("0", "1"):
         raise Unusable("redo: is neither 1 nor absent")
     return Ask(
@@ -65,6 +73,9 @@
         self.spoken = False   # a whole frame has come
         self.used = self.begun = front.broker.now()
         self.discarded = 0
+        self.partial = 0  # bytes held of frames that are not whole yet
+        self.reading_on = False  # whole frames wait for this connection's next turn
+        self.recent: dict[str, None] = {}  # its last ids
         self.paused_at = 0  # since when the reader has been slow; 0: it is not
         self.timer: Timer | None = None
 
@@ -87,23 +98,57 @@
                 self.transport.pause_reading()
             return
         self.used = self.front.broker.now()
-        if not self.parser.buffer:
+        if not self.parser.held():
             self.begun = self.used
+        self.parser.feed(data)
+        if not self.reading_on:
+            self._read_on()
+        self._count_partial()
+        if self.front.partial > self.front.broker.room and not self.broken:
+            self._break("no room for more frames that are not whole")
+
+    def _count_partial(self) -> None:
+        held = self.parser.held()
+        self.front.partial += held - self.partial
+        self.partial = held
+
+    def _read_on(self) -> None:
+        """Danger: a chunk can hold 25,000 frames; all others would stand still until the last is answered."""
+        self.reading_on = False
         try:
-            for frame in self.parser.feed(data):
+            for _ in range(TURN):
+                if self.broken or (frame := self.parser.next()) is None:
+                    return
                 self.spoken, self.begun = True, self.used
                 self._frame(frame)
-                if self.broken:
-                    return
         except frames.BadFrame as error:
             self._break(str(error))
         except Exception as error:  # no input may raise out of a callback
             self.front.broker.log("client", f"{type(error).__name__}: {error}")
             self._break("internal error")
+        else:
+            self.reading_on = True
+            self._read_if_wanted()
+            asyncio.get_running_loop().call_soon(self._resume)
+
+    def _resume(self) -> None:
+        self._read_on()
+        self._read_if_wanted()
+
+    def _read_if_wanted(self) -> None:
+        """Nothing more is read while frames wait for their turn, or answers for their reader."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        if (self.reading_on or self.paused_at) and not self.broken:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.broken = True
         self.transport = None
+        self.parser.clear()
+        self._count_partial()
         if self.timer is not None:
             self.timer.cancel()
         self.front.went(self)
@@ -115,13 +160,13 @@
         now = self.front.broker.now()
         if self.open or self.unread():
             due = now + WHOLE
-        elif self.parser.buffer:
+        elif self.parser.held():
             due = self.begun + WHOLE
         else:
             due = self.used + IDLE if self.spoken else self.begun + FIRST
         if due > now:
             self.timer = self.front.broker.wheel.at(due, self._look)
-        elif self.spoken and not self.parser.buffer:
+        elif self.spoken and not self.parser.held():
             self.let_go()
         else:
             self._break("no whole frame in time")
@@ -129,13 +174,11 @@
     def pause_writing(self) -> None:
         """Danger: a client that does not read while it asks would fill our memory with its answers."""
         self.paused_at = self.front.broker.now()
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.pause_reading()
+        self._read_if_wanted()
 
     def resume_writing(self) -> None:
         self.paused_at = 0
-        if self.transport is not None and not self.transport.is_closing() and not self.broken:
-            self.transport.resume_reading()
+        self._read_if_wanted()
 
     def _frame(self, frame: frames.Frame) -> None:
         if frame.type == frames.REQUEST:
@@ -154,6 +197,12 @@
         self.last_stream = stream
         try:
             ask = read_ask(payload)
+            if ask.trace in self.recent:
+                # Danger: the same frame hundreds of times over would take a tenant's share from its others.
+                raise Unusable("trace: is not new on this connection")
+            self.recent[ask.trace] = None
+            if len(self.recent) > MOST_OPEN:
+                del self.recent[next(iter(self.recent))]
             if len(self.open) >= MOST_OPEN:
                 raise Unusable(f"more than {MOST_OPEN} open requests on one connection")
             self.open[stream] = None
@@ -172,7 +221,8 @@
         self.front.broker.log("client", f"broken connection: {why}")
         self._write(frames.answer(0, frames.FAILED, {}, why.encode()))
         self.broken = True
-        self.parser.buffer.clear()
+        self.parser.clear()
+        self._count_partial()
         self._abandon_all()
         if self.timer is not None:
             self.timer.cancel()
--- a/larchhall/wire/engine.py
+++ b/larchhall/wire/engine.py
@@ -12,7 +12,7 @@
 
 MS = 1_000_000
 MOST_PAGES = 1_024
-MOST_RESULT = 256_000  # bytes; what one frame to a client can hold
+MOST_RESULT = 48_000   # bytes
 PART = 500 * MS        # ns in which an answer that has begun must be whole
 ROWS = re.compile(rb"(?:[^\t\n\0]*\t[^\t\n\0]*\t[^\t\n\0]*\n)*")  # three text columns and a line end each
 WORDS = {b"overload": Result.FULL, b"crashed": Result.ERROR, b"nobody": Result.NOT_SENT}
--- a/larchhall/wire/frames.py
+++ b/larchhall/wire/frames.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Iterator
 from typing import NamedTuple
 
 REQUEST, ANSWER, ABANDON, ASK_READY, READY, NO_MORE = 2, 4, 8, 16, 32, 64
@@ -28,25 +27,37 @@
 
     def __init__(self) -> None:
         self.buffer = bytearray()
+        self.at = 0  # up to here it has been given out
 
-    def feed(self, data: bytes) -> Iterator[Frame]:
+    def feed(self, data: bytes) -> None:
+        del self.buffer[:self.at]
+        self.at = 0
+        self.buffer += data
+
+    def next(self) -> Frame | None:
         """Danger: a length is believed before its bytes are there: an impossible one is an error at once,
         and what is held never passes one frame's length."""
-        buffer = self.buffer
-        buffer += data
-        at = 0
-        while len(buffer) - at >= 4:
-            length = int.from_bytes(buffer[at:at + 4], "big")
-            if not LEAST <= length <= MOST:
-                raise BadFrame(f"length {length} is not within {LEAST} to {MOST}")
-            if len(buffer) - at >= 5 and buffer[at + 4] not in FROM_CLIENT:
-                raise BadFrame(f"type {buffer[at + 4]} is none that a client sends")
-            if len(buffer) - at < 4 + length:
-                break
-            _, kind, stream = HEAD.unpack_from(buffer, at)
-            yield Frame(kind, stream, bytes(buffer[at + HEAD.size:at + 4 + length]))
-            at += 4 + length
-        del buffer[:at]
+        buffer, at = self.buffer, self.at
+        if len(buffer) - at < 4:
+            return None
+        length = int.from_bytes(buffer[at:at + 4], "big")
+        if not LEAST <= length <= MOST:
+            raise BadFrame(f"length {length} is not within {LEAST} to {MOST}")
+        if len(buffer) - at >= 5 and buffer[at + 4] not in FROM_CLIENT:
+            raise BadFrame(f"type {buffer[at + 4]} is none that a client sends")
+        if len(buffer) - at < 4 + length:
+            return None
+        self.at = at + 4 + length
+        _, kind, stream = HEAD.unpack_from(buffer, at)
+        return Frame(kind, stream, bytes(buffer[at + HEAD.size:self.at]))
+
+    def held(self) -> int:
+        """Bytes that are here and not given out yet."""
+        return len(self.buffer) - self.at
+
+    def clear(self) -> None:
+        self.buffer.clear()
+        self.at = 0
 
 
 def read_fields(payload: bytes) -> tuple[dict[str, str], bytes]:
@@ -60,7 +71,10 @@
             value_end = value_at + int.from_bytes(payload[name_end:value_at], "big")
             if value_end > len(payload) or value_at > len(payload):
                 raise BadFrame("the fields end inside a value")
-            fields[payload[at + 1:name_end].decode()] = payload[value_at:value_end].decode()
+            name = payload[at + 1:name_end].decode()
+            if name in fields:
+                raise BadFrame(f"the field {name[:40]!r} comes twice")
+            fields[name] = payload[value_at:value_end].decode()
             at = value_end
     except IndexError:
         raise BadFrame("the fields are cut short") from None
--- a/larchhall/wire/resp.py
+++ b/larchhall/wire/resp.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-MOST_BULK = 65_536  # of one page, which holds 6,000 bytes; a statement goes the other way
+MOST_BULK = 48_000  # the largest result, were it one page
 MOST_PARTS = 4
 MOST_LINE = 32
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -58,6 +58,53 @@
     assert first != second and h.controller.engines[first].suspect
 
 
+def test_one_reset_excludes_no_engine_a_second_soon_after_does() -> None:
+    """Danger: connections are reset for many reasons; each would cost the pool an engine for a second."""
+    h = Harness(make_settings(), entry(1))
+    h.arrive("a", estimate=40 * MS)
+    h.arrive("b", estimate=40 * MS)
+    h.end("a", api.Result.RESET, attempt=0)
+    assert not h.controller.engines[1].suspect
+    h.end("b", api.Result.RESET, attempt=0)
+    assert h.controller.engines[1].suspect
+
+
+def test_an_error_is_the_engine_s_only_where_another_serves_the_same() -> None:
+    """Danger: what a client sends and no engine can read would make every engine look as if it failed."""
+    h = two_engines()
+    for i in range(20):
+        h.arrive(f"bad{i}", estimate=40 * MS)
+        while not h.answers(f"bad{i}"):
+            h.end(f"bad{i}", api.Result.ERROR)
+        assert len(h.sends(f"bad{i}")) == 2  # a second error ends it
+    assert [e.failures for e in h.controller.engines.values()] == [0.0, 0.0]
+    h.arrive("good", estimate=40 * MS)
+    h.end("good", api.Result.ERROR)
+    h.end("good", api.Result.SERVED)
+    first, second = (h.controller.engines[s.engine] for s in h.sends("good"))
+    assert first.failures > 0.0 == second.failures
+
+
+def test_what_is_refused_at_once_moves_no_mean_and_is_not_kept() -> None:
+    """Danger: a client's figure of 10^7 ms moved the mean work, and with it every bound: engines jammed."""
+    h = two_engines()
+    before = h.controller.mean_work, h.controller.mean_worth, len(h.controller.timers)
+    for i in range(50):
+        h.arrive(f"r{i}", estimate=10_000 * S)
+        assert isinstance(h.answers(f"r{i}")[0], api.Refuse)
+    assert (h.controller.mean_work, h.controller.mean_worth, len(h.controller.timers)) == before
+    assert not h.controller.requests
+
+
+def test_books_of_data_sets_are_bounded() -> None:
+    load = query_class(is_load=True, deadline=60 * S)
+    h = Harness(make_settings(load, query_class("reader", waits_for_loads=True)), entry(1), entry(2))
+    for i in range(3_000):
+        h.arrive(f"r{i}", estimate=MS, data_set=i)
+        h.end(f"r{i}", api.Result.SERVED, latency=MS)
+    assert len(h.controller.ranks) <= 1_001 and not h.controller.held_sets
+
+
 def test_unsafe_work_is_no_trial() -> None:
     h = Harness(make_settings(query_class(effect=api.Effect.UNSAFE)), entry(1), entry(2))
     h.controller.engines[1].suspect = True
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -98,7 +98,7 @@
         drain._leave()
         assert await client.frame() == (frames.NO_MORE, 0, b"")
         client.send(frames.ASK_READY, 0, b"\0")
-        client.ask(stream=2)  # it crossed the word to leave off
+        client.ask(stream=2, trace="2" * 16)  # it crossed the word to leave off
         assert await client.frame() == (frames.READY, 0, b"\x01\0")
         assert (await client.answer())[:2] == (2, frames.SERVED)
         with pytest.raises(ConnectionRefusedError):
--- a/tests/test_middle.py
+++ b/tests/test_middle.py
@@ -5,14 +5,15 @@
 import pytest
 
 from larchhall import facade as f
+from larchhall.broker import Broker
 from larchhall.interface import Effect, EngineState, Result
 from larchhall.lifecycle import log
 from larchhall.state.engines import EngineTable
-from larchhall.state.wheel import Wheel
+from larchhall.state.wheel import Clock, Wheel
 from larchhall.wire.bus import parse_event
 
 from .helpers import MS, S, make_settings, query_class
-from .sockets import event, target
+from .sockets import event, make_config, target
 
 
 @pytest.mark.parametrize("after", [0, 1, 5 * MS, 5 * MS + 1, 12 * S])
@@ -56,6 +57,22 @@
     assert table.by_uid["b"].target.state is EngineState.GONE
 
 
+def test_engines_that_come_and_go_all_day_leave_nothing_behind() -> None:
+    broker = Broker(make_config(), Clock(), lambda kind, text: None)
+    for life in range(2, 400):
+        news = [target(f"s-{life}", 1 + life % 2), target(f"s-{life - 1}", 1, "terminated")]
+        broker.news(parse_event(event(life, *news[:1 + life % 2])))  # half are never said to have gone
+        broker.pools.sweep(broker.now())
+    for held in (broker.engines.by_uid, broker.engines.by_number, broker.pools.by_number,
+                 broker.facade.controller.engines):
+        assert 1 <= len(held) <= 2
+    number = broker.engines.number("s-399")
+    broker.news(parse_event(event(400, target("s-399", 1, "terminated"))))
+    assert "s-399" not in broker.engines.by_uid
+    broker.news(parse_event(event(401, target("s-399", 1))))
+    assert broker.engines.by_uid["s-399"].number == number  # the same as every other broker gives it
+
+
 def test_the_facade_says_what_to_do_and_fires_timers_by_tick() -> None:
     wheel = Wheel(5 * MS, 0)
     unsafe = query_class("load", effect=Effect.UNSAFE, deadline=2 * S)
--- a/tests/test_sockets_client.py
+++ b/tests/test_sockets_client.py
@@ -82,13 +82,80 @@
     async with running(make_config(target("s-1", await engine.start()))) as rig:
         client = await rig.client()
         bad: list[dict[str, str | None]] = [
-            {"route": "upload"}, {"patience": "0"}, {"patience": None}, {"trace": "9b"}, {"customer": "x"}]
+            {"route": "upload"}, {"route": None}, {"customer": "x"}, {"customer": None}, {"redo": "2"},
+            {"trace": "9b"}, {"trace": None}, {"trace": "g" * 16}, {"patience": "0"}, {"patience": None}]
+        bad += [{name: value} for name in ("patience", "weight", "ram")
+                for value in ("-1", "nan", "inf", "1e99", "x", "", "1_0", " 1", "٣", "9" * 400)]
         for stream, changes in enumerate(bad, 1):
-            client.ask(stream, STATEMENT, **changes)
+            client.ask(stream, STATEMENT, **{"trace": f"{stream:016x}", **changes})
+            assert (await client.answer())[:2] == (stream, frames.FAILED), changes
+        for stream, statement in enumerate((b"", b" \n", b"SELECT \xff", b"SELECT \0"), 100):
+            client.ask(stream, statement, trace=f"{stream:016x}")
             assert (await client.answer())[:2] == (stream, frames.FAILED)
-        assert not engine.seen
-        client.ask(stream=9)
-        assert (await client.answer())[:2] == (9, frames.SERVED)
+        assert not engine.seen and not rig.node.broker.requests
+        client.ask(stream=200)
+        assert (await client.answer())[:2] == (200, frames.SERVED)
+
+
+@on_uvloop
+async def test_an_id_that_is_not_new_reaches_no_engine_with_another_statement() -> None:
+    engine = Engine(lambda *_: None)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client, other = await rig.client(), await rig.client()
+        client.ask(stream=1, weight="900.0")
+        await until(lambda: engine.words(b"do"))
+        for stream in (2, 3):  # the same frame again, as a flood sends it
+            client.ask(stream=stream, weight="900.0")
+            assert (await client.answer())[:2] == (stream, frames.FAILED)
+        for stream, changes in enumerate(({"body": b"SELECT 2 FROM sales_17.orders"},
+                                          {"route": "till-load"}), 1):
+            other.ask(stream=stream, **changes)  # type: ignore[arg-type]
+            assert (await other.answer())[:2] == (stream, frames.FAILED)
+        assert len(engine.words(b"do")) == 1
+        engine.serve(engine.words(b"do")[0], engine.writers[0])
+        assert (await client.answer())[:2] == (1, frames.SERVED)
+        assert not rig.node.broker.ids
+
+
+@on_uvloop
+async def test_a_patience_beyond_that_of_its_class_is_cut_to_it() -> None:
+    engine = Engine(lambda *_: None)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client = await rig.client()
+        client.ask(patience="3600000")
+        await until(lambda: engine.words(b"do"))
+        [request] = rig.node.broker.requests.values()
+        assert request.deadline < rig.node.clock.now() + 5_000 * MS
+
+
+@on_uvloop
+async def test_thousands_of_frames_at_once_leave_others_their_turn() -> None:
+    async with running(make_config()) as rig:
+        flood, other = await rig.client(), await rig.client()
+        flood.writer.write(frames.frame(frames.ASK_READY, 1, b"\0") * 20_000)
+        other.send(frames.ASK_READY, 1, b"\0")
+        served: list[int] = []
+        front = rig.node
+        ready, front.ready = front.ready, lambda: bool(served.append(len(served))) or ready()  # type: ignore
+        assert await other.frame() == (frames.READY, 1, b"\0\0")
+        assert len(served) < 10_000
+        for _ in range(20_000):
+            assert await flood.frame() == (frames.READY, 1, b"\0\0")
+
+
+@on_uvloop
+async def test_frames_that_are_half_here_are_bounded_in_all() -> None:
+    async with running(make_config()) as rig:
+        rig.node.broker.room = 310_000
+        clients = [await rig.client() for _ in range(3)]
+        for client in clients:
+            client.writer.write((200_000).to_bytes(4, "big") + b"\x02" + bytes(150_000))
+        await until(lambda: any(c.broken for c in rig.node.clients))
+        assert rig.node.partial <= 310_000 and sum(c.broken for c in rig.node.clients) == 1
+        for client in clients:
+            client.writer.close()
+        await until(lambda: not rig.node.clients)
+        assert rig.node.partial == 0
 
 
 @on_uvloop
@@ -168,10 +235,10 @@
 
 
 @on_uvloop
-async def test_held_statements_are_bounded_and_given_back(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("larchhall.broker.MOST_HELD", 100)
+async def test_held_statements_are_bounded_and_given_back() -> None:
     engine = Engine(lambda *_: None)
     async with running(make_config(target("s-1", await engine.start()))) as rig:
+        rig.node.broker.room = 100
         client = await rig.client()
         client.ask(1, b"x" * 90, weight="900.0")
         client.ask(2, b"x" * 20, trace="2" * 16)
@@ -191,7 +258,7 @@
         client.ask(1)
         assert (await client.answer())[:2] == (1, frames.FAILED)
         facade.pick = whole  # type: ignore[method-assign]
-        client.ask(2)
+        client.ask(2, trace="2" * 16)
         assert (await client.answer())[:2] == (2, frames.SERVED)
         assert not rig.node.broker.requests and not facade.sends
 
@@ -226,5 +293,5 @@
         stream, code, _, why = await client.answer()
         assert (stream, code) == (0, frames.FAILED) and b"length" in why
         assert await client.ended()
-        assert not any(connection.parser.buffer for connection in rig.node.clients)
+        assert rig.node.partial == 0
         await until(lambda: not rig.node.clients)
--- a/tests/test_sockets_engine.py
+++ b/tests/test_sockets_engine.py
@@ -77,7 +77,7 @@
 async def test_what_may_have_run_is_a_failed_load_and_never_sent_twice() -> None:
     cases = [always(b"crashed"), rude(b""), rude(b"-ERR\r\n"), always(b"what"),
              rude(resp.encode(TRACE.encode(), b"served", b"chunks=x", b"")),
-             rude(resp.encode(TRACE.encode(), b"served", b"chunks=1", b"x" * 256_001)),
+             rude(resp.encode(TRACE.encode(), b"served", b"chunks=1", b"1\ta\tb\n" * 8_001)),
              rude(b"*4\r\n$3000000000\r\n"),
              rude(resp.encode(TRACE.encode(), b"rows", b"at=1", b"1\ta\tb\n")),
              *(rude(resp.encode(TRACE.encode(), b"served", b"chunks=1", page)) for page in (
@@ -188,15 +188,15 @@
 async def test_one_id_is_never_open_twice_on_a_connection() -> None:
     engine = Engine(lambda *_: None)
     async with running(make_config(target("s-1", await engine.start()))) as rig:
-        client = await rig.client()
+        client, again = await rig.client(), await rig.client()
         client.ask(stream=1)
         await until(lambda: len(engine.words(b"do")) == 1)
-        client.ask(stream=2)  # the same trace
+        again.ask(stream=2)  # the same request, as it comes again when its connection crossed a close
         await until(lambda: len(engine.words(b"do")) == 2)
         assert len(engine.writers) == 2
         engine.writer_of(engine.words(b"do")[1]).write(
             resp.encode(TRACE.encode(), b"served", b"chunks=1", b"2\ta\tb\n"))
-        assert await client.answer() == (2, frames.SERVED, {}, b"2\ta\tb\n")
+        assert await again.answer() == (2, frames.SERVED, {}, b"2\ta\tb\n")
 
 
 @on_uvloop
--- a/tests/test_wire_tables.py
+++ b/tests/test_wire_tables.py
@@ -19,8 +19,22 @@
 FIELDS = frames.write_fields({"route": "lookup", "trace": "9b"})
 
 
+def feed(parser: Any, data: bytes, into: list[Any]) -> None:
+    """Into a list, since what comes before a refusal counts."""
+    if isinstance(parser, frames.FrameParser):
+        parser.feed(data)
+        while (frame := parser.next()) is not None:
+            into.append(frame)
+    else:
+        for item in parser.feed(data):
+            into.append(item)
+
+
 def fed(parser: Any, data: bytes, step: int) -> list[Any]:
-    return [item for at in range(0, len(data), step) for item in parser.feed(data[at:at + step])]
+    got: list[Any] = []
+    for at in range(0, len(data), step):
+        feed(parser, data[at:at + step], got)
+    return got
 
 
 @pytest.mark.parametrize("step", [1, 3, 1_000])
@@ -38,7 +52,7 @@
     b"\0\0\0\x05\x20"])
 def test_broken_frames_are_told_before_the_rest_is_there(data: bytes) -> None:
     with pytest.raises(frames.BadFrame):
-        list(frames.FrameParser().feed(data))
+        fed(frames.FrameParser(), data, len(data))
 
 
 @pytest.mark.parametrize(("payload", "fields", "body"), [
@@ -48,7 +62,8 @@
 
 
 @pytest.mark.parametrize("payload", [
-    b"", b"\x01", b"\x01\x05ro", b"\x01\x01a\0", b"\x01\x01a\0\x02b", b"\x01\x01\xff\0\0", FIELDS[:-1]])
+    b"", b"\x01", b"\x01\x05ro", b"\x01\x01a\0", b"\x01\x01a\0\x02b", b"\x01\x01\xff\0\0", FIELDS[:-1],
+    b"\x02\x01a\0\x01b\x01a\0\x01c"])
 def test_unreadable_fields(payload: bytes) -> None:
     with pytest.raises(frames.BadFrame):
         frames.read_fields(payload)
@@ -141,7 +156,7 @@
             try:
                 one = parser()
                 for at in range(0, len(data), size):
-                    got.extend(one.feed(data[at:at + size]))
+                    feed(one, data[at:at + size], got)
                 results.append((got, False))
             except refusal:
                 results.append((got, True))
