A want of our own descriptors blames no engine; attempts leave a quarter of connections in hand

Its log holds over 80 lines "no descriptor is left for engines"; a trace of the module's figures beside it shows four of six engines excluded at 34.8 s, with nothing or one query of ours on them, while the sockets show them answering. Lines at fault: state/pools.py _connect reported EMFILE as a failed connect, which the module reads as a dead process, and send() gave every attempt a connection of its own up to the last one, so that an engine that had to show itself on a new connection could not. Ruled out: memory (17.6 MB, flat by quarters), CPU (0.28 of a core), the list of engines (all news taken), cold engines (none cold in the trace).

Now: own connections up to three quarters of the engines' part, the rest for what must have a new one; a want of descriptors is reported as not sent; engines' part three eighths of the descriptors (was a quarter; clients used 188 of 256 in all at the most and keep a third at the least).

--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -88,10 +88,11 @@
         self.deadlines = {c.name: c.deadline for c in settings.classes}
         self.customers = {t.name for t in settings.tenants}
         self.engines = EngineTable()
-        # Engines get a quarter of the descriptors: a few connections each. Danger: clients, of whom many ask
-        # once and stay a while, need many more; what is left after the reserve is theirs.
+        # Engines get three eighths of the descriptors, since most attempts have a connection of their own.
+        # Danger: many clients ask once and stay a while; a third at the least, and all the rest, is theirs.
         reserved = min(RESERVED[1], max(RESERVED[0], config.sockets // 8))
-        most = max(LEAST_ENGINES, config.sockets // 4)
+        beside = config.sockets - config.sockets // 3 - reserved
+        most = max(LEAST_ENGINES, min(config.sockets * 3 // 8, beside))
         self.most_clients = config.sockets - most - reserved
         self.pools = Pools(self, log, streams=config.streams,
                            connect_timeout=config.connect_timeout, conn_idle=config.conn_idle,
--- a/larchhall/state/pools.py
+++ b/larchhall/state/pools.py
@@ -14,6 +14,7 @@
 
 SILENT = 1_000_000_000  # ns without a word while answers are owed: then a new connection shows what holds
 GONE_SILENT = 3_000_000_000  # ns without a word from an engine that the list says has ended: it has
+OWN_PART = 3 / 4  # of the connections may be attempts' own; the rest is for what must have a new one
 AFTER = 30_000_000_000  # ns after an attempt's time is up, its answer is not expected any more
 
 
@@ -77,11 +78,13 @@
             self.opening = asyncio.get_running_loop().create_task(self._connect())
 
     async def _connect(self) -> None:
-        why = ""
+        why, result = "", Result.CONNECT_FAILED
         connection: EngineConnection | None = None
         address = self.target.host, self.target.port
         try:
             if not self.pools.make_room():
+                # Danger: that is no fault of the engine's; taken for one, it excludes the busiest of them.
+                result = Result.NOT_SENT
                 raise OSError(errno.EMFILE, "no descriptor is left for engines")
             loop = asyncio.get_running_loop()
             async with asyncio.timeout(self.pools.connect_timeout / 1e9):
@@ -114,13 +117,13 @@
                     self.send(attempt, now)
             return
         self.pools.log("engine", f"{self.target.uid} at {self.target.host}:{self.target.port}: {why}")
-        for connection in self.connections:
+        for connection in self.connections if result is Result.CONNECT_FAILED else ():
             if connection.open and now - connection.heard > SILENT:
                 connection.retired = True
         for tag in probes:
-            self.pools.owner.probed(tag, Result.CONNECT_FAILED, "")
+            self.pools.owner.probed(tag, result, "")
         for attempt in waiting:  # nothing has left for the engine: it never ran
-            self.pools.unsent(attempt, Result.CONNECT_FAILED)
+            self.pools.unsent(attempt, result)
 
     def moved(self, target: Target) -> None:
         """News of the engine: at a new address, or in a new life, old connections take nothing more."""
@@ -175,14 +178,14 @@
     def share(self) -> int:
         """Of the connections, for each engine."""
         live = sum(p.target.state is not EngineState.GONE for p in self.by_number.values())
-        return max(1, self.most // max(1, live))
+        return max(1, int(self.most * OWN_PART) // max(1, live))
 
     def _held(self) -> int:
         return sum(len(p.connections) + (p.opening is not None) for p in self.by_number.values())
 
     def room(self) -> bool:
-        """For one more, with nothing closed for it."""
-        return self._held() < self.most
+        """For one more that is an attempt's own."""
+        return self._held() < self.most * OWN_PART
 
     def make_room(self) -> bool:
         """Danger: descriptors run out and clients can't come in: engines take no more than their part."""
