A second address for operators: readiness, figures, engines out and back; the inherited socket

Module: a ban is a drain no news lifts; called back an engine is cold and what was learned is forgotten.

--- a/larchhall/books.py
+++ b/larchhall/books.py
@@ -83,12 +83,10 @@
         self.rate, self.most, self.tokens, self.at = rate, most, most, now
 
     def take(self, now: int, tokens: float = 1.0) -> bool:
-        self.tokens = min(self.most, self.tokens + self.rate * (now - self.at))
-        self.at = now
-        if self.tokens < tokens:
-            return False
-        self.tokens -= tokens
-        return True
+        self.tokens, self.at = min(self.most, self.tokens + self.rate * (now - self.at)), now
+        enough = self.tokens >= tokens
+        self.tokens -= tokens * enough
+        return enough
 
 
 class SlidingSum:
--- a/larchhall/brain.py
+++ b/larchhall/brain.py
@@ -182,6 +182,7 @@
     cold_luck: float = 1.0
     cold_redraw: int = 0
     last_sign: int = 0
+    born: int = 0                # what was sent before belongs to another process
     suspect: bool = False
     next_trial: int = 0
 
@@ -214,6 +215,7 @@
         self.shortest_aim = min(c.aim for c in settings.classes)
         self.widest = max(c.threads for c in settings.classes)
         self.engines: dict[int, Engine] = {}
+        self.banned: set[int] = set()
         self.looking: dict[str, Request] = {}
         self.look_tokens = 0.0
         self.mean_worth, self.mean_work = 1e-9, 1.0
@@ -237,7 +239,8 @@
         self.handlers: dict[type, Callable[[int, Any], None]] = {
             api.Arrival: self._arrive, api.AttemptOutcome: self._outcome, api.AttemptNote: self._note,
             api.Departure: self._depart, api.TimerFired: self._fire, api.ListNews: self._list_news,
-            api.ProbeResult: self._seen, api.PeerMessage: lambda now, event: None, api.Closing: self._close}
+            api.Ban: self._ban, api.ProbeResult: self._seen, api.PeerMessage: lambda now, event: None,
+            api.Closing: self._close}
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         if type(event) not in self.handlers:
@@ -293,12 +296,9 @@
         """Danger: a key's requests run one at a time; a queue longer than the aim makes all of them late."""
         if request.key is None or len(self.queues[request.key]) == 1:
             return False
-        wait = self.views[request.spec.name].expected_time(request.work)
-        for other in self.queues[request.key]:
-            if other is not request:
-                begun = max((now - a.sent for a in other.out.values()), default=0)
-                wait += max(0.0, self.views[other.spec.name].expected_time(other.work) - begun)
-        return wait > request.aim()
+        return request.aim() < sum(
+            max(0.0, self.views[r.spec.name].expected_time(r.work)
+                - max((now - a.sent for a in r.out.values()), default=0)) for r in self.queues[request.key])
 
     def _admit(self, now: int, request: Request) -> None:
         """The ordinary path: a weighted draw among the engines where the query fits, else refusal at once."""
@@ -344,8 +344,7 @@
             engine.report, engine.threads_since_report = event.report, 0
         for request in [r for r in self.looking.values() if event.engine in r.looks]:
             request.looks.remove(event.engine)
-            if event.result is Result.SERVED:
-                request.seen.append(event.engine)
+            request.seen += [event.engine] if event.result is Result.SERVED else []
             if not request.looks:
                 self._decide(now, request)
 
@@ -372,14 +371,12 @@
         return max(weight, 1e-9)
 
     def _data_set_factor(self, spec: api.RequestClass, data_set: int, engine: Engine) -> float:
-        """A load stops the readers of its data set on its engine: keep the two apart. Every gateway ranks
-        the engines alike by a hash, with nothing sent between them: loads go to a data set's last engines,
-        its readers to the others, warm ones first."""
+        """A load stops the readers of its data set on its engine: keep the two apart. All gateways rank
+        alike, by a hash: loads go to a data set's last engines, its readers to others, warm ones first."""
         if not any(v.spec.is_load for v in self.views.values()):
             return 1.0 if self._rank(data_set, engine) < HOME_SHARE else COLD_SET
         home = self._rank(data_set, engine) >= 1 - HOME_SHARE
-        misplaced = not home if spec.is_load else home and spec.waits_for_loads
-        factor = APART if misplaced else 1.0
+        factor = APART if (not home if spec.is_load else home and spec.waits_for_loads) else 1.0
         if (spec.is_load or spec.waits_for_loads) and self.held_sets[engine.entry.engine, data_set]:
             factor *= BESIDE_LOAD
         return factor
@@ -397,7 +394,7 @@
 
     def _may_send(self, now: int, request: Request, engine: Engine) -> bool:
         return (not request.done
-                and engine.entry.state is EngineState.READY                      # rule 3, drains
+                and self._open(engine)                                           # rule 3, drains
                 and request.sends < self.limits.max_attempts
                 and self._effect_allows(now, request, engine)                    # rule 2
                 and self._placed(request.spec, engine)                           # rule 6
@@ -406,6 +403,10 @@
                 and self._cold_allows(now, engine, request.work)                 # rule 4
                 and self._healthy(now, request, engine))
 
+    def _open(self, engine: Engine) -> bool:
+        """Danger: the list calls an engine ready that the operators have taken out: no news lifts that."""
+        return engine.entry.state is EngineState.READY and engine.entry.engine not in self.banned
+
     def _effect_allows(self, now: int, request: Request, engine: Engine) -> bool:
         """Rule 2. Danger: a repeat of what may have run does it twice."""
         spec = request.spec
@@ -418,10 +419,9 @@
         origin = self.engines.get(first.engine)
         if spec.effect is Effect.UNSAFE or now - first.sent >= spec.window - 2 * self.settings.tick:
             return False
-        if spec.scope is Scope.ALL:
-            return True
-        return (origin is not None and origin.entry.zone == engine.entry.zone
-                and (spec.scope is Scope.ZONE or origin.entry.cell == engine.entry.cell))
+        return spec.scope is Scope.ALL or (
+            origin is not None and origin.entry.zone == engine.entry.zone
+            and (spec.scope is Scope.ZONE or origin.entry.cell == engine.entry.cell))
 
     def _placed(self, spec: api.RequestClass, engine: Engine) -> bool:
         return ((not spec.only_zones or engine.entry.zone in spec.only_zones)
@@ -456,10 +456,10 @@
         self._watch_silence(now, engine)
         if engine.backlog == 0 and now < engine.full_until:
             return now >= engine.next_trial
-        if not engine.suspect or all(e.suspect for e in self.engines.values()):
+        if not engine.suspect or all(e.suspect for e in self.engines.values() if self._open(e)):
             return True
-        trial_out = any(a.trial for a in engine.out.values())
-        return now >= engine.next_trial and not trial_out and request.spec.effect is Effect.SAFE
+        return (now >= engine.next_trial and request.spec.effect is Effect.SAFE
+                and not any(a.trial for a in engine.out.values()))
 
     def _send(self, now: int, request: Request, engine: Engine) -> bool:
         if not self._may_send(now, request, engine):
@@ -497,8 +497,6 @@
             self._timer(now + max(int(wait), self.shortest_aim), self._review, request, attempt.number)
         return True
 
-    # --- While an attempt is out ---
-
     def _review(self, now: int, request: Request, number: int) -> None:
         """An attempt far past its expected time (bad plan, lost, crowded out) is cancelled and tried anew."""
         if (number in request.out and self.limits.cancel and request.spec.effect is not Effect.UNSAFE
@@ -512,16 +510,14 @@
             self._further(now, request)
 
     def _note(self, now: int, event: api.AttemptNote) -> None:
-        request = self.requests.get(event.request)
         if (engine := self.engines.get(event.engine)) is not None:
             engine.last_sign = now
-        if request is not None and event.kind is NoteKind.PROGRESS and event.attempt in request.out:
-            age = now - request.out[event.attempt].sent
-            if event.value > 0 and age / event.value > request.deadline - request.taken:
+            request = self.requests.get(event.request)
+            attempt = engine.out.get((event.request, event.attempt))
+            if (request and attempt and event.kind is NoteKind.PROGRESS
+                    and now - attempt.sent > event.value * (request.deadline - request.taken) > 0):
                 self._review(now, request, event.attempt)
 
-    # --- An attempt ends ---
-
     def _outcome(self, now: int, event: api.AttemptOutcome) -> None:
         engine = self.engines.get(event.engine)
         request = self.requests.get(event.request)
@@ -533,8 +529,9 @@
         if engine is not None:
             del engine.out[(request.id, attempt.number)]
             self._book(now, engine, request, attempt.size, -1)
-            self._judge(now, engine, request, attempt, event)
-            if engine.entry.state is EngineState.GONE and not engine.out:
+            if attempt.sent >= engine.born:
+                self._judge(now, engine, request, attempt, event)
+            if engine.entry.state is EngineState.GONE:
                 self._remove(event.engine)
         if event.result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED) and request.key is not None:
             self.key_free_at[request.key] = now + self.contract.order_settle
@@ -614,9 +611,8 @@
         if request.done:
             return
         effect, scope = request.spec.effect, request.spec.scope
-        harmless = effect is Effect.SAFE or not request.may_have_run or (
-            effect is Effect.KEYED and scope is Scope.ALL)
-        if harmless:
+        if effect is Effect.SAFE or not request.may_have_run or (
+                effect is Effect.KEYED and scope is Scope.ALL):  # a retry is harmless
             self.period_refusals += 1
             share = max(self.refused_share, min(1.0, self.period_refusals / max(1, self.period_arrivals)))
             most = self.limits.max_retry_after if self.limits.retry_after else 0
@@ -667,24 +663,21 @@
             if rest_until <= now:
                 self.key_free_at.pop(key, None)
 
-    # --- Each period ---
-
     def _period(self, now: int) -> None:
         self._timer(now + PERIOD, self._period)
         self.period_due = now + PERIOD
         self.refused_share = min(1.0, self.period_refusals / max(1, self.period_arrivals))
         self.period_arrivals = self.period_refusals = 0
-        for engine in self.engines.values():
-            engine.move()
-        self.pool.move()
-        known = [e.busy() for e in self.engines.values() if e.report is not None]
-        self.pool.strain = min(1.0, sum(known) / len(known) / BORNE_OUT) ** 2 if known else 1.0
+        for loop in (*self.engines.values(), self.pool):
+            loop.move()
+        known = [e.busy() for e in self.engines.values() if e.report is not None] or [BORNE_OUT]
+        self.pool.strain = min(1.0, sum(known) / len(known) / BORNE_OUT) ** 2
 
     def _measure_pool(self) -> None:
         """Danger: with many gateways a share is under one query; no engine's own loop hears enough to act."""
-        ready = [e for e in self.engines.values() if e.entry.state is EngineState.READY]
+        ready = [e for e in self.engines.values() if self._open(e)]
         before, self.pool.start = self.pool.start, sum(e.start for e in ready)
-        self.pool.bound = self.pool.bound / before * self.pool.start if before > 0 else self.pool.start
+        self.pool.bound = (self.pool.bound / before if before > 0 else 1) * self.pool.start
         share = sum(THREADS_A_CORE * e.cores for e in ready) / self.settings.fleet_size
         self.pool.thread_share = share or self.widest
         self.thin = bool(ready) and share / len(ready) < self.widest
@@ -693,15 +686,12 @@
         """Danger: an engine takes work and answers nothing, or is out of reach before the list says so."""
         limit = SILENCE * self.shortest_aim
         if (not engine.suspect and now - max(engine.last_sign, self.stalled) > limit
-                and any(now - a.sent > max(limit, a.size) for a in engine.out.values())):
+                and any(now - a.sent > max(limit, a.size) and a.sent >= engine.born
+                        for a in engine.out.values())):
             self._foretell(engine, True)
             engine.suspect, engine.next_trial = True, now + TRIAL_GAP
 
-    # --- News of the engine list ---
-
     def _list_news(self, now: int, news: api.ListNews) -> None:
-        if news.kind is ListKind.FAILED:
-            return
         self.ranks.clear()
         for entry in news.entries:
             self._list_entry(now, entry)
@@ -713,29 +703,41 @@
 
     def _list_entry(self, now: int, entry: api.EngineEntry) -> None:
         if entry.state is EngineState.GONE:
-            self._remove(entry.engine)
-            return
-        engine = self.engines.get(entry.engine)
-        if engine is None:
+            return self._remove(entry.engine)
+        if (engine := self.engines.get(entry.engine)) is None:
             cores = dict(self.settings.kind_cores).get(entry.kind) or max(1, round(entry.weight))
             share = THREADS_A_CORE * cores / self.settings.fleet_size
             start = share * self.longest_aim
             # Several gateways seldom peak together, so one query more than its share for each of them.
             share += (1 - 1 / self.settings.fleet_size) * self.widest
-            engine = Engine(entry=entry, cores=cores, start=start, bound=start, thread_share=share,
-                            last_sign=now, cold_sends=SlidingSum(self.contract.fall))
-            self.engines[entry.engine] = engine
-        elif entry.started > engine.entry.started:
-            engine.suspect, engine.slowdown, engine.best, engine.failures = False, 1.0, 1.0, 0.0
-            engine.report = None
+            engine = self.engines[entry.engine] = Engine(
+                entry=replace(entry, started=0), cores=cores, start=start, bound=start, thread_share=share,
+                last_sign=now, cold_sends=SlidingSum(self.contract.fall))
+        if entry.started > engine.entry.started:
+            self._renew(engine, entry.started)
         engine.entry = entry
-        if entry.started > 0:
-            engine.cold_until = max(engine.cold_until, entry.started + self.contract.cold)
+
+    def _renew(self, engine: Engine, started: int) -> None:
+        """Another process under the same id: cold, and nothing that was learned of the last one holds."""
+        engine.suspect, engine.slowdown, engine.best, engine.failures = False, 1.0, 1.0, 0.0
+        engine.report, engine.full_until, engine.born = None, 0, started
+        engine.last_sign = max(engine.last_sign, started)
+        engine.cold_until = max(engine.cold_until, started + self.contract.cold)
+
+    def _ban(self, now: int, event: api.Ban) -> None:
+        (self.banned.add if event.out else self.banned.discard)(event.engine)
+        if not event.out and (engine := self.engines.get(event.engine)) is not None:
+            self._renew(engine, event.at)  # danger: the list tells of its restart late, or not at all
+        self._measure_pool()
+
+    def avoided(self) -> int:
+        """Engines of the list that get nothing, by the operators' word or by our own choice."""
+        return sum(e.suspect or e.entry.engine in self.banned for e in self.engines.values()
+                   if e.entry.state is not EngineState.GONE)
 
     def _remove(self, name: int) -> None:
         """Gone engines keep their books until the last outcome, under a state that takes no sends."""
-        engine = self.engines.get(name)
-        if engine is not None and engine.out:
+        if (engine := self.engines.get(name)) is not None:
             engine.entry = replace(engine.entry, state=EngineState.GONE)
-        elif engine is not None:
-            del self.engines[name]
+            if not engine.out:
+                del self.engines[name]
--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -18,6 +18,7 @@
 from .facade import (
     Closing,
     Ended,
+    EngineBan,
     EngineNews,
     Facade,
     Left,
@@ -28,7 +29,9 @@
     Result,
     SendOrder,
 )
+from .state.bans import Bans, Word
 from .state.engines import EngineTable
+from .state.figures import ERROR, OVERLOAD, SUCCESS, Figures
 from .state.pools import Pools
 from .state.requests import Attempt, Client, OpenRequest
 from .state.wheel import Clock, Wheel
@@ -45,6 +48,7 @@
 HELD_PAUSE_MS = 1_000
 LEAST_ENGINES = 4        # connections to engines, whatever the limit
 RESERVED = (24, 96)      # descriptors for the listener, the bus, the log and some in hand: an eighth, within
+MOST_CALLERS = 12        # operators' calls at once; their descriptors are kept for them
 METER = {"busy": "utilisation", "util": "utilisation", "q": "queue", "queue": "queue",
          "x0": "memory", "x1": "disk"}
 
@@ -88,9 +92,14 @@
         self.deadlines = {c.name: c.deadline for c in settings.classes}
         self.customers = {t.name for t in settings.tenants}
         self.engines = EngineTable()
+        self.bans = Bans()
+        self.figures = Figures(self.deadlines)
+        self.concurrent = 0  # requests taken that have no final answer and whose client has not left
         # Engines get three eighths of the descriptors, since most attempts have a connection of their own.
         # Danger: many clients ask once and stay a while; a third at the least, and all the rest, is theirs.
         reserved = min(RESERVED[1], max(RESERVED[0], config.sockets // 8))
+        # Danger: floods of clients must not keep the operators' calls out.
+        reserved += MOST_CALLERS + 1 if config.operator is not None else 0
         beside = config.sockets - config.sockets // 3 - reserved
         most = max(LEAST_ENGINES, min(config.sockets * 3 // 8, beside))
         self.most_clients = config.sockets - most - reserved
@@ -114,6 +123,14 @@
 
     def submit(self, client: Client, stream: int, ask: Ask) -> OpenRequest:
         """Take a request. Danger: nothing malformed may reach an engine or the decisions."""
+        try:
+            self._check(ask)
+        except Unusable:
+            self.figures.answered(ask.route, ERROR)
+            raise
+        return self._take(client, stream, ask)
+
+    def _check(self, ask: Ask) -> None:
         if ask.route not in self.deadlines:
             raise Unusable(f"route: {ask.route[:40]!r} is no class of the settings")
         if not 1 <= ask.patience_ms <= MOST_PATIENCE_MS:
@@ -122,23 +139,24 @@
             raise Unusable("weight or ram: is out of range")
         if self.customers and ask.customer not in self.customers:
             raise Unusable(f"customer: {(ask.customer or '')[:40]!r} is none of the settings")
-        trace = ask.trace.encode()
-        for other in self.ids.get(trace, ()):
+        for other in self.ids.get(ask.trace.encode(), ()):
             if (other.route, other.statement) != (ask.route.encode(), ask.statement):
                 # Danger: the engine takes it for the open one, and answers one of them with the other's rows.
                 raise Unusable("trace: is open with another statement")
-        now = self.now()
+
+    def _take(self, client: Client, stream: int, ask: Ask) -> OpenRequest:
+        trace, now = ask.trace.encode(), self.now()
         # Danger: books kept for an hour, since a client says that it waits so long: its class ends sooner.
         patience = min(int(ask.patience_ms * MS), self.deadlines[ask.route])
         patience -= min(WAY_BACK, patience // 4)
         self.count += 1
         request = OpenRequest(str(self.count), trace, ask.route.encode(), ask.statement, client,
                               stream, now + patience)
+        self.concurrent += 1
         if self.held + len(ask.statement) > self.room:
             # Danger: a flood of large statements ends the process for memory, and all that it had taken.
             self.log("client", "no room for another statement: refused")
-            request.client = None
-            client.refused(stream, HELD_PAUSE_MS)
+            self._answering(request, OVERLOAD).refused(stream, HELD_PAUSE_MS)
             return request
         self.held += len(ask.statement)
         self.requests[request.id] = request
@@ -150,9 +168,8 @@
         except Exception:
             # Danger: a fault in the decisions must cost this request alone, and even that gets its answer.
             self.log("fault", traceback.format_exc())
-            request.client = None
+            self._answering(request, ERROR).failed(stream, "internal error")
             self._close_out(request)
-            client.failed(stream, "internal error")
             return request
         self._carry_out(now, orders)
         return request
@@ -161,9 +178,44 @@
         """Nobody waits for this request any more; no answer is owed."""
         if request.client is not None:
             request.client = None
+            self.concurrent -= 1
             self._report(Left(request.id))
             self._close_out(request)
 
+    def _answering(self, request: OpenRequest, status: int) -> Client:
+        """The client that gets its final answer now. Danger: a request that is counted anywhere else is
+        counted twice, or never: every answer passes here."""
+        client, request.client = request.client, None
+        assert client is not None, "a second answer"
+        self.concurrent -= 1
+        self.figures.answered(request.route.decode(), status)
+        return client
+
+    # --- operators ---
+
+    def set_engine(self, uid: str, out: bool) -> bool:
+        """Leave an engine out, or use it again; False if none has this uid."""
+        # Danger: it restarts while it is out, so that the list may not name it when it is called back.
+        if uid not in self.engines.by_uid and not self.bans.out(uid):
+            return False
+        if out != self.bans.out(uid):
+            self.take_word(uid, Word(self.now(), out))
+        return True
+
+    def take_word(self, uid: str, word: Word) -> None:
+        """The operators' word on an engine, said to us or to a process beside us."""
+        if not self.bans.say(uid, word):
+            return
+        number = self.engines.number(uid)
+        self._report(EngineBan(number, word.out, word.at))
+        if (pool := self.pools.get(number)) is not None:
+            # Danger: what still waits for a connection would leave after the yes; it has not run.
+            pool.take_back() if word.out else pool.renew()
+
+    def metrics(self) -> bytes:
+        self.pools.count_written()
+        return self.figures.text(self.concurrent, len(self.engines.by_uid), self.facade.avoided())
+
     # --- time and news ---
 
     def tick(self) -> None:
@@ -194,7 +246,7 @@
 
     # --- orders ---
 
-    def _report(self, news: Ended | Probed | Left | EngineNews | Closing) -> None:
+    def _report(self, news: Ended | Probed | Left | EngineNews | EngineBan | Closing) -> None:
         now = self.now()
         try:
             self._carry_out(now, self.facade.report(now, news))
@@ -210,11 +262,10 @@
             request = self.requests.get(verdict.request)
             if request is None or request.client is None:
                 continue
-            client, request.client = request.client, None
             if verdict.refused:
-                client.refused(request.stream, -(-verdict.pause // MS))
+                self._answering(request, OVERLOAD).refused(request.stream, -(-verdict.pause // MS))
             else:
-                client.failed(request.stream, "")
+                self._answering(request, ERROR).failed(request.stream, "")
             self._close_out(request)
         for id, number in orders.cancels:
             self._cancel(id, number)
@@ -274,12 +325,15 @@
 
     # --- what connections to engines tell ---
 
+    def written(self, attempts: int) -> None:
+        self.figures.dispatches += attempts
+
     def whole(self, attempt: Attempt, meter: str) -> None:
         """Every page is here: the answer goes out as one frame, if somebody still waits for it."""
         request = attempt.request
         if request.client is not None:
-            client, request.client = request.client, None
-            client.served(request.stream, b"".join(page for page in attempt.pages if page is not None))
+            body = b"".join(page for page in attempt.pages if page is not None)
+            self._answering(request, SUCCESS).served(request.stream, body)
         attempt.pages = []
         self._end(attempt, Result.SERVED, self._load(meter))
 
--- a/larchhall/config.py
+++ b/larchhall/config.py
@@ -28,7 +28,7 @@
 MISSING = object()
 # Read at the start alone: the fields of Config, by the key that an operator writes. `bus` is read again.
 FIXED = {"name": "name", "host": "listen", "port": "listen", "seed": "seed", "sockets": "limits.sockets",
-         "memory_mb": "limits.memory_mb",
+         "memory_mb": "limits.memory_mb", "operator": "operator",
          "connect_timeout": "settings.policy_limits.connect_timeout", "settings": "settings",
          "conn_idle": "settings.policy_limits.conn_idle",
          "streams": "settings.policy_limits.streams_per_conn"}
@@ -158,6 +158,8 @@
     sockets: int
     memory_mb: int
     bus: tuple[str, int] | None
+    operator: tuple[str, int] | None  # where the operators' calls come in
+    accept_fd: int | None             # the clients' listening socket, where the platform holds it
     known_offset: int
     known: tuple[BusEvent, ...]
     connect_timeout: int
@@ -197,6 +199,11 @@
         for name, value in zip(("connect_timeout", "conn_idle", "streams_per_conn"), wire, strict=True))
     listen_key = "PROXY_LISTEN" if environ.get("PROXY_LISTEN") else "listen"
     host, port = _address(environ.get("PROXY_LISTEN") or get(raw, "listen", "text"), listen_key)
+    operator_key = "PROXY_OPERATOR" if environ.get("PROXY_OPERATOR") else "operator"
+    operator = environ.get("PROXY_OPERATOR") or get(raw, "operator", "text", "")
+    accept_fd = environ.get("PROXY_ACCEPT_FD", "")
+    if accept_fd and not (accept_fd.isascii() and accept_fd.isdecimal() and len(accept_fd) < 8):
+        raise ConfigError(f"PROXY_ACCEPT_FD: {accept_fd[:40]!r} is no descriptor's number")
     seed = get(raw, "seed", "text", "0")
     bus = get(raw, "bus", "text", "")
     try:
@@ -215,6 +222,8 @@
         memory_mb=_at_least(LEAST_MEMORY, get(limits, "limits.memory_mb", "whole number", DEFAULT_MEMORY),
                             "limits.memory_mb"),
         bus=_address(bus, "bus") if bus else None,
+        operator=_address(operator, operator_key) if operator else None,
+        accept_fd=int(accept_fd) if accept_fd else None,
         known_offset=get(known, "known.offset", "whole number", events[-1].offset if events else 0),
         known=events, connect_timeout=connect_timeout, conn_idle=conn_idle, streams=streams,
         settings=settings)
@@ -226,7 +235,8 @@
 
 
 def load(environ: Mapping[str, str]) -> Config:
-    """From the file that PROXY_CONFIG names; PROXY_NAME and PROXY_LISTEN stand above what it holds."""
+    """From the file that PROXY_CONFIG names; PROXY_NAME, PROXY_LISTEN and PROXY_OPERATOR stand above what it
+    holds."""
     path = environ.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG: is not set")
--- a/larchhall/facade.py
+++ b/larchhall/facade.py
@@ -15,8 +15,8 @@
 from .interface import EngineEntry, EngineState, LoadReport, Result
 from .state.wheel import Wheel
 
-__all__ = ["Closing", "Ended", "EngineEntry", "EngineNews", "EngineState", "Facade", "Left", "LoadReport",
-           "Orders", "Probed", "Query", "Result", "SendOrder", "Verdict"]
+__all__ = ["Closing", "Ended", "EngineBan", "EngineEntry", "EngineNews", "EngineState", "Facade", "Left",
+           "LoadReport", "Orders", "Probed", "Query", "Result", "SendOrder", "Verdict"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,12 +69,21 @@
     entries: tuple[EngineEntry, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class EngineBan:
+    """The operators have taken an engine out, or back, at this time."""
+
+    engine: int
+    out: bool
+    at: int
+
+
 @dataclass(frozen=True, slots=True)
 class Closing:
     """The broker is about to end: what is open must be closed out now."""
 
 
-News = Ended | Probed | Left | EngineNews | Closing
+News = Ended | Probed | Left | EngineNews | EngineBan | Closing
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +140,8 @@
                 event = api.Departure(request)
             case EngineNews(full, entries):
                 event = api.ListNews(api.ListKind.FULL if full else api.ListKind.CHANGES, entries)
+            case EngineBan(engine, out, at):
+                event = api.Ban(engine, out, at)
             case Closing():
                 event = api.Closing()
         return self._handle(now, orders, event)
@@ -144,6 +155,10 @@
         """The network holds nothing of this request any more."""
         self.sends.pop(request, None)
 
+    def avoided(self) -> int:
+        """How many listed engines the decisions leave out, by hand or by choice."""
+        return self.controller.avoided()
+
     def _fired(self, token: int) -> Callable[[], None]:
         return lambda: self.due.append(token)
 
--- a/larchhall/interface.py
+++ b/larchhall/interface.py
@@ -229,6 +229,15 @@
     request: str
 
 
+@dataclass(frozen=True, slots=True)
+class Ban:
+    """Operators take an engine out, whatever the list says, or back: it has restarted and is cold."""
+
+    engine: int
+    out: bool
+    at: int
+
+
 @dataclass(frozen=True, slots=True)
 class Closing:
     """The gateway is about to end: every open request gets its final answer now."""
@@ -253,8 +262,8 @@
     payload: bytes
 
 
-Event = (ListNews | Arrival | AttemptOutcome | AttemptNote | Departure | Closing | TimerFired | ProbeResult
-         | PeerMessage)
+Event = (ListNews | Arrival | AttemptOutcome | AttemptNote | Departure | Ban | Closing | TimerFired
+         | ProbeResult | PeerMessage)
 
 
 @dataclass(frozen=True, slots=True)
--- a/larchhall/lifecycle/boot.py
+++ b/larchhall/lifecycle/boot.py
@@ -21,6 +21,7 @@
 from ..wire.feed import Feed
 from .drain import Drain
 from .log import Log
+from .operations import Operations
 
 BACKLOG = 1_024
 SWEEP = 0.25            # s between looks at idle connections and slow readers
@@ -39,6 +40,30 @@
     return wanted
 
 
+def bound(key: str, host: str, port: int) -> socket.socket:
+    """Danger: after a kill the old connections linger; the address must be had at once all the same."""
+    listener = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, port))
+    except OSError as error:
+        listener.close()
+        raise ConfigError(f"{key}: {host}:{port}: {error}") from None
+    return listener
+
+
+def inherited(number: int) -> socket.socket:
+    """The clients' listening socket that the platform holds. Danger: to bind anew fails, since its address is
+    taken; to shut it down would end it for every process that has it: only our copy is ever closed."""
+    try:
+        listener = socket.socket(fileno=number)
+    except OSError as error:
+        raise ConfigError(f"PROXY_ACCEPT_FD: descriptor {number}: {error}") from None
+    if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        raise ConfigError(f"PROXY_ACCEPT_FD: descriptor {number} is no listening socket")
+    return listener
+
+
 class Node:
     """One running broker: the front to clients, the middle, the bus."""
 
@@ -53,6 +78,7 @@
         self.clients: set[ClientConnection] = set()
         self.partial = 0  # bytes of frames that are not whole yet
         self.server: asyncio.Server | None = None
+        self.operations = Operations(self)
         self.feed: Feed | None = None
         self.listed = False
         self.drain = Drain(self)
@@ -106,6 +132,8 @@
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         if self.config.bus is not None:
             self._follow(self.config.bus)
+        if self.config.operator is not None:
+            await self.operations.listen(bound("operator", *self.config.operator))
         self.server = await loop.create_server(lambda: ClientConnection(self), sock=self._listen(),
                                                backlog=BACKLOG)
         # What lives as long as the process is no work for the collector: it would stop the loop for it.
@@ -118,16 +146,9 @@
         self.log("stop", "done")
 
     def _listen(self) -> socket.socket:
-        """Danger: after a kill the old connections linger; the address must be had at once all the same."""
-        family = socket.AF_INET6 if ":" in self.config.host else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            listener.bind((self.config.host, self.config.port))
-        except OSError as error:
-            listener.close()
-            raise ConfigError(f"listen: {self.config.host}:{self.config.port}: {error}") from None
-        return listener
+        if self.config.accept_fd is None:
+            return bound("listen", self.config.host, self.config.port)
+        return inherited(self.config.accept_fd)
 
     def _follow(self, bus: tuple[str, int]) -> None:
         if self.feed is None:
@@ -144,16 +165,21 @@
         try:
             read = load(self.environ)
         except ConfigError as error:
-            self.log("reload", f"the configuration stays as it was: {error}")
+            self._turned_down(str(error))
             return
         except Exception as error:  # danger: no file, however odd, may end a process that serves
-            self.log("reload", f"the configuration stays as it was: {type(error).__name__}: {error}")
+            self._turned_down(f"{type(error).__name__}: {error}")
             return
+        self.broker.figures.reloads_taken += 1
         fixed = waiting_for_restart(self.told, read)
         self.log("reload", "done" + (f"; with the next start only: {', '.join(fixed)}" if fixed else ""))
         if read.bus is not None:
             self._follow(read.bus)
 
+    def _turned_down(self, why: str) -> None:
+        self.broker.figures.reloads_turned_down += 1
+        self.log("reload", f"the configuration stays as it was: {why}")
+
     def _news(self, event: Any) -> None:
         self.listed = True
         self.broker.news(event)
@@ -186,6 +212,7 @@
 
     def stop(self) -> None:
         self.broker.pools.close()
+        self.operations.close()
         if self.feed is not None:
             self.feed.stop()
         self.stopped.set()
--- /dev/null
+++ b/larchhall/lifecycle/operations.py
@@ -0,0 +1,62 @@
+"""The second address: what the operators' calls do, and who may be on the line."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING
+
+from ..broker import MOST_CALLERS
+from ..wire.operator import OperatorConnection
+
+if TYPE_CHECKING:
+    from .boot import Node
+
+
+class Operations:
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.wheel = node.broker.wheel
+        self.callers: dict[OperatorConnection, None] = {}  # in the order in which they came
+        self.server: asyncio.Server | None = None
+
+    async def listen(self, listener: socket.socket) -> None:
+        self.server = await asyncio.get_running_loop().create_server(
+            lambda: OperatorConnection(self), sock=listener)
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for caller in list(self.callers):
+            caller.close() if caller.answered else caller.drop()
+
+    # --- from the connections ---
+
+    def now(self) -> int:
+        return self.node.clock.now()
+
+    def ready(self) -> bool:
+        return self.node.ready()
+
+    def metrics(self) -> bytes:
+        return self.node.broker.metrics()
+
+    def set_engine(self, uid: str, out: bool) -> bool:
+        done = self.node.broker.set_engine(uid, out)
+        self.log("operator", f"{'out' if out else 'back'}: {uid[:80]!r} {'done' if done else 'is not known'}")
+        return done
+
+    def came(self, caller: OperatorConnection) -> None:
+        """Danger: a flood of callers takes the descriptors that are kept for calls: the newcomer takes the
+        place of one that has its answer, else of the one that has been silent longest."""
+        if len(self.callers) >= MOST_CALLERS:
+            victim = next((c for c in self.callers if c.answered), next(iter(self.callers)))
+            del self.callers[victim]
+            victim.drop()
+        self.callers[caller] = None
+
+    def went(self, caller: OperatorConnection) -> None:
+        self.callers.pop(caller, None)
+
+    def log(self, kind: str, text: str) -> None:
+        self.node.log(kind, text)
--- a/larchhall/state/pools.py
+++ b/larchhall/state/pools.py
@@ -133,6 +133,17 @@
             for connection in self.connections:
                 connection.retired = True
 
+    def take_back(self) -> None:
+        """What waits for a connection has not left for the engine: it never ran."""
+        waiting, self.waiting = self.waiting, []
+        for attempt in waiting:
+            self.pools.unsent(attempt, Result.NOT_SENT)
+
+    def renew(self) -> None:
+        """Danger: the engine has restarted meanwhile, perhaps with nothing said on the old connections."""
+        for connection in self.connections:
+            connection.retired = True
+
     def _still_at(self, address: tuple[str, int]) -> bool:
         return (self.target.host, self.target.port) == address and self.target.state is not EngineState.GONE
 
@@ -203,6 +214,11 @@
         if pool is not None and connection in pool.connections:
             pool.connections.remove(connection)
 
+    def count_written(self) -> None:
+        for pool in self.by_number.values():
+            for connection in pool.connections:
+                connection.count_written()
+
     def sweep(self, now: int) -> None:
         for number, pool in list(self.by_number.items()):
             pool.sweep(now)
--- a/larchhall/wire/engine.py
+++ b/larchhall/wire/engine.py
@@ -34,6 +34,8 @@
 
     def lost(self, connection: EngineConnection, why: str, spoilt: bool) -> None: ...
 
+    def written(self, attempts: int) -> None: ...
+
 
 class EngineConnection(asyncio.Protocol):
     """Attempts stay in ``open`` until the engine answered them, also those that nobody waits for: they hold
@@ -48,6 +50,7 @@
         self.heard = self.used = self.begun = owner.now()
         self.retired = False  # takes no further sends
         self.closed = False
+        self.leaving = 0  # attempts handed to the transport that may not have left yet
 
     # --- from the broker ---
 
@@ -61,6 +64,7 @@
         if request.level is not None:
             fields["level"] = request.level
         attempt.written = True
+        self.leaving += 1
         self._write(now, b"do", request.trace, resp.write_pairs(fields), request.statement)
 
     def bump(self, attempt: Attempt, level: int) -> None:
@@ -82,6 +86,12 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def count_written(self) -> None:
+        """Danger: an attempt that a full socket keeps back has not been sent, and may never be."""
+        if self.leaving and self.transport is not None and self.transport.get_write_buffer_size() == 0:
+            self.owner.written(self.leaving)
+            self.leaving = 0
+
     # --- from the socket ---
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -110,6 +120,7 @@
     def check(self, now: int) -> None:
         """Danger: an answer that stops short on an open connection swallows all answers behind it, and what
         is sent there later is never heard of again."""
+        self.count_written()
         if self.parser.buffer and now - self.begun > PART:
             self._drop("an answer stopped short", spoilt=True)
 
@@ -120,6 +131,7 @@
         if not self.closed:
             self.closed = self.retired = True
             self.parser.buffer.clear()
+            self.count_written()
             self.close()
             self.owner.lost(self, why, spoilt)
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -53,12 +53,17 @@
     return {"offset": offset, "topology": {"rev": offset, "all": full, "targets": list(targets)}}
 
 
-def make_config(*targets: dict[str, Any], bus: int = 0, **changes: Any) -> Config:
+def make_config(*targets: dict[str, Any], bus: int = 0, operator: bool = False, listed: bool = True,
+                **changes: Any) -> Config:
     raw: dict[str, Any] = {
         "name": "n0", "listen": "127.0.0.1:1", "seed": "8c1f30d27a5be964", "limits": {"sockets": 256},
         "known": {"offset": 1, "batch": [event(1, *targets, full=True)]}, "settings": settings(**changes)}
+    if not listed:
+        del raw["known"]
     if bus:
         raw["bus"] = f"127.0.0.1:{bus}"
+    if operator:
+        raw["operator"] = "127.0.0.1:1"
     return parse(json.loads(json.dumps(raw)), {})
 
 
@@ -165,6 +170,12 @@
             self.last_port = int(self.node.server.sockets[0].getsockname()[1])
         return self.last_port
 
+    @property
+    def operator_port(self) -> int:
+        server = self.node.operations.server
+        assert server is not None
+        return int(server.sockets[0].getsockname()[1])
+
     async def client(self) -> Client:
         return Client(*await asyncio.open_connection("127.0.0.1", self.port))
 
@@ -172,7 +183,8 @@
 @asynccontextmanager
 async def running(config: Config, environ: Mapping[str, str] = os.environ) -> AsyncIterator[Rig]:
     """A node on a free port, as `serve` runs it."""
-    rig = Rig(Node(replace(config, port=0), environ))
+    operator = config.operator and (config.operator[0], 0)
+    rig = Rig(Node(replace(config, port=0, operator=operator), environ))
     task = asyncio.create_task(rig.node.run())
     await until(lambda: rig.node.server is not None or task.done())
     try:
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,219 @@
+"""The second address: calls, figures, and engines taken out by hand."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from typing import Any
+
+from larchhall.state.figures import ERROR, SUCCESS, Figures, escaped
+from larchhall.wire import frames
+from larchhall.wire.bus import parse_event
+from larchhall.wire.operator import MOST_BODY, MOST_HEAD
+
+from .sockets import Engine, Rig, event, make_config, on_uvloop, running, target, until, within
+
+CALLS = [
+    (b"GET /ready HTTP/1.1\r\n\r\n", 200), (b"GET /metrics?x=1 HTTP/1.1\r\nHost: a\r\n\r\n", 200),
+    (b"GET / HTTP/1.1\r\n\r\n", 404), (b"GET /ready/ HTTP/1.1\r\n\r\n", 404),
+    (b"POST /ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405),
+    (b"GET /data-engines/disable/s-1 HTTP/1.1\r\n\r\n", 405),
+    (b"POST /data-engines/disable/nobody HTTP/1.1\r\n\r\n", 404),
+    (b"POST /data-engines/enable/ HTTP/1.1\r\n\r\n", 404),
+    (b"POST /data-engines/disable/%ff HTTP/1.1\r\n\r\n", 400), (b"hello\r\n\r\n", 400), (b"\0\1\2\3", 400),
+    (b"GET /ready HTTP/1.1\r\nA: " + b"a" * MOST_HEAD + b"\r\n\r\n", 431), (b"GET /" + b"a" * 40_000, 431),
+    (b"POST /data-engines/enable/s-1 HTTP/1.1\r\nContent-Length: 99999\r\n\r\n" + b"a" * (MOST_BODY + 1),
+     413),
+    (b"POST /data-engines/%64isable/s%2D1 HTTP/1.1\r\n\r\n", 404),
+    (b"POST /data-engines/disable/s%2D1 HTTP/1.1\r\n\r\n", 200),
+    (b"POST /data-engines/disable/s-1 HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", 200),
+    (b"POST /data-engines/enable/s-1 HTTP/1.1\r\n\r\n", 200)]
+
+
+async def call(rig: Rig, raw: bytes) -> tuple[int, dict[str, str], str]:
+    """Status, headers and body of the answer to a call."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", rig.operator_port)
+    writer.write(raw)
+    head, _, body = (await within(reader.read())).decode().partition("\r\n\r\n")
+    writer.close()
+    first, *lines = head.split("\r\n")
+    return int(first.split()[1]), {k.lower(): v for k, v in (line.split(": ", 1) for line in lines)}, body
+
+
+async def figures(rig: Rig) -> dict[str, float]:
+    status, _, text = await call(rig, b"GET /metrics HTTP/1.1\r\n\r\n")
+    assert status == 200
+    return {name.removeprefix("edge_proxy_"): float(value) for name, value in (
+        line.rsplit(" ", 1) for line in text.splitlines() if not line.startswith("#"))}
+
+
+async def set_engine(rig: Rig, word: str, uid: str = "s-1") -> int:
+    return (await call(rig, f"POST /data-engines/{word}/{uid} HTTP/1.1\r\n\r\n".encode()))[0]
+
+
+@on_uvloop
+async def test_each_call_gets_its_one_answer() -> None:
+    async with running(make_config(target("s-1", 9), operator=True)) as rig:
+        for raw, status in CALLS:
+            got, headers, body = await call(rig, raw)
+            assert (got, headers["content-length"], headers["connection"]) == (
+                status, str(len(body)), "close"), raw[:60]
+            assert headers.get("allow") == ({405: "GET" if b"/ready" in raw else "POST"}.get(status))
+        for split in range(1, 20):  # a call in two pieces
+            reader, writer = await asyncio.open_connection("127.0.0.1", rig.operator_port)
+            writer.write(CALLS[0][0][:split])
+            await asyncio.sleep(0)
+            writer.write(CALLS[0][0][split:])
+            assert (await within(reader.read())).startswith(b"HTTP/1.1 200 ")
+            writer.close()
+
+
+@on_uvloop
+async def test_silent_and_half_callers_keep_nobody_out_and_are_ended_by_the_wheel() -> None:
+    async with running(make_config(target("s-1", 9), operator=True)) as rig:
+        idle = [await asyncio.open_connection("127.0.0.1", rig.operator_port) for _ in range(40)]
+        idle[-1][1].write(b"GET /rea")
+        assert (await call(rig, CALLS[0][0]))[0] == 200
+        await until(lambda: not rig.node.operations.callers)
+        assert (await within(idle[-1][0].read())).startswith(b"HTTP/1.1 408 ")
+        for reader, writer in idle[:-1]:
+            with suppress(ConnectionError):
+                assert await within(reader.read()) == b""
+            writer.close()
+
+
+@on_uvloop
+async def test_not_ready_without_a_list_and_in_the_drain() -> None:
+    async with running(make_config(operator=True, listed=False)) as rig:
+        assert (await call(rig, CALLS[0][0]))[0] == 503
+        rig.node.listed = True
+        assert (await call(rig, CALLS[0][0]))[0] == 200
+        rig.node.leaving = True
+        assert (await call(rig, CALLS[0][0]))[0] == 503
+
+
+@on_uvloop
+async def test_the_figures_are_those_of_the_traffic() -> None:
+    engine = Engine()
+    async with running(make_config(target("s-1", await engine.start()), target("s-2", 9, "terminating"),
+                                   operator=True)) as rig:
+        told = await figures(rig)
+        assert told['replies_total{type="till-load",status="overload"}'] == 0
+        assert (told["dispatches_total"], told["concurrent"], told["targets"]) == (0, 0, 2)
+        client = await rig.client()
+        client.ask(stream=1)
+        assert (await client.answer())[1] == frames.SERVED
+        client.ask(stream=2, trace="2" * 16, customer="nobody")
+        assert (await client.answer())[1] == frames.FAILED
+        engine.script = lambda *_: None
+        client.ask(stream=3, trace="3" * 16, route="till-load")
+        await until(lambda: len(engine.words(b"do")) == 2)
+        told = await figures(rig)
+        assert told['replies_total{type="lookup",status="success"}'] == 1
+        assert told['replies_total{type="lookup",status="error"}'] == 1
+        assert (told["dispatches_total"], told["concurrent"], told["targets_disabled"]) == (2, 1, 0)
+        client.send(frames.ABANDON, 3)  # ended, with its attempt still out
+        client.ask(stream=4, trace="4" * 16, route="till-load")
+        await until(lambda: len(engine.words(b"do")) == 3)
+        assert (await figures(rig))["concurrent"] == 1
+        assert await set_engine(rig, "disable") == 200
+        client.ask(stream=5, trace="5" * 16)
+        stream, code, fields, _ = await client.answer()
+        assert (stream, code) == (5, frames.REFUSED) and int(fields["pause"]) > 0
+        told = await figures(rig)
+        assert (told["targets_disabled"], told['replies_total{type="lookup",status="overload"}']) == (1, 1)
+
+
+def test_the_text_has_help_and_type_and_its_labels_are_escaped() -> None:
+    figures = Figures(['a"b'])
+    figures.answered('a"b', SUCCESS)
+    figures.answered("unheard of", ERROR)  # no series for whatever a client names
+    figures.learn(["c"])
+    text = figures.text(1, 2, 3).decode()
+    assert 'edge_proxy_replies_total{type="a\\"b",status="success"} 1\n' in text and "unheard" not in text
+    assert 'edge_proxy_replies_total{type="c",status="error"} 0\n' in text
+    assert text.count("# HELP ") == text.count("# TYPE ") == 7 and text.endswith("\n")
+    assert escaped('\\ " \n') == '\\\\ \\" \\n'
+
+
+@on_uvloop
+async def test_an_attempt_counts_only_once_its_last_byte_has_left() -> None:
+    engine = Engine(lambda *_: None)
+    async with running(make_config(target("s-1", await engine.start()), operator=True)) as rig:
+        client = await rig.client()
+        client.ask()
+        await until(lambda: engine.words(b"do"))
+        (connection,) = (c for p in rig.node.broker.pools.by_number.values() for c in p.connections)
+        await until(lambda: rig.node.broker.figures.dispatches == 1)
+        connection.leaving, transport = 1, connection.transport
+
+        class Full:
+            def get_write_buffer_size(self) -> int:
+                return 5
+
+        connection.transport = Full()  # type: ignore[assignment]
+        connection.count_written()
+        assert rig.node.broker.figures.dispatches == 1
+        connection.transport = transport
+        connection.count_written()
+        assert rig.node.broker.figures.dispatches == 2
+
+
+@on_uvloop
+async def test_an_engine_taken_out_gets_nothing_whatever_the_list_says_until_one_call_back() -> None:
+    engines = [Engine(), Engine()]
+    first, second = [target(f"s-{n}", await e.start()) for n, e in enumerate(engines, 1)]
+    async with running(make_config(first, second, operator=True)) as rig:
+        client = await rig.client()
+        assert [await set_engine(rig, "disable") for _ in range(2)] == [200, 200]  # it may come twice
+        await tell(rig, 2, {**first, "state": "terminated"})
+        assert await set_engine(rig, "disable") == 200  # known, although the list has dropped it
+        await tell(rig, 3, {**first, "boot_ms": 1_000})
+        for stream in range(1, 31):
+            client.ask(stream=stream, trace=f"{stream:016x}")
+            assert (await client.answer())[1] == frames.SERVED
+        assert not engines[0].words(b"do") and len(engines[1].words(b"do")) == 30
+        assert await set_engine(rig, "enable") == 200
+        for stream in range(31, 61):
+            client.ask(stream=stream, trace=f"{stream:016x}")
+            await client.answer()
+        assert engines[0].words(b"do")
+        assert await set_engine(rig, "enable", "nobody") == 404
+
+
+async def tell(rig: Rig, offset: int, *targets: dict[str, Any]) -> None:
+    rig.node.broker.news(parse_event(event(offset, *targets)))
+
+
+@on_uvloop
+async def test_what_waits_for_a_connection_is_taken_back_before_the_yes() -> None:
+    """Danger: it would leave for the engine after the yes. It never ran: it may go to another."""
+    other = Engine()
+    port = await other.start()
+    async with running(make_config(target("s-1", port), target("s-2", port, "terminating"),
+                                   operator=True)) as rig:
+        client = await rig.client()
+        pool = next(p for p in rig.node.broker.pools.by_number.values() if p.target.uid == "s-1")
+        pool._open = lambda: None  # type: ignore[method-assign]  # its connection never comes up
+        client.ask(route="till-load")
+        await until(lambda: pool.waiting)
+        assert await set_engine(rig, "disable") == 200
+        assert (await client.answer())[1] == frames.REFUSED
+        assert not pool.waiting and not other.words(b"do")
+
+
+@on_uvloop
+async def test_called_back_it_is_cold_and_its_old_connections_take_nothing_more() -> None:
+    engine = Engine()
+    async with running(make_config(target("s-1", await engine.start()), operator=True)) as rig:
+        client = await rig.client()
+        client.ask()
+        await client.answer()
+        await set_engine(rig, "disable")
+        await set_engine(rig, "enable")
+        (known,) = rig.node.broker.facade.controller.engines.values()
+        assert known.cold_until > rig.node.clock.now()
+        client.ask(stream=2, trace="2" * 16)
+        assert (await client.answer())[1] == frames.SERVED
+        first, again = engine.words(b"do")
+        assert engine.writer_of(first) is not engine.writer_of(again)
