Two processes of one broker: bans, outstanding work and limits are shared, the old one hands over

Ruled out: news of the list lifting the ban (one process alone keeps it). Notes of progress are only a sign of life now: no engine here tells any, and the real broker has no word for them.

--- a/larchhall/brain.py
+++ b/larchhall/brain.py
@@ -15,7 +15,7 @@
 
 from . import interface as api
 from .books import Attempt, FadingMean, LoopBooks, Request, SlidingSum, TokenBucket, memberships
-from .interface import NEVER_RAN, Effect, EngineState, ListKind, NoteKind, Result, Scope
+from .interface import NEVER_RAN, Effect, EngineState, ListKind, Result, Scope
 
 # --- The mechanism's own figures (DESIGN page) ---
 PERIOD = 1_000_000_000  # ns; the controller's period, also the unit of the retry-after
@@ -182,6 +182,7 @@
     cold_luck: float = 1.0
     cold_redraw: int = 0
     last_sign: int = 0
+    beside: api.Outstanding = api.Outstanding(0, 0, 0)  # of other processes of this gateway; booked as ours
     born: int = 0                # what was sent before belongs to another process
     suspect: bool = False
     next_trial: int = 0
@@ -216,6 +217,7 @@
         self.widest = max(c.threads for c in settings.classes)
         self.engines: dict[int, Engine] = {}
         self.banned: set[int] = set()
+        self.taking = 1  # processes of this gateway that take requests
         self.looking: dict[str, Request] = {}
         self.look_tokens = 0.0
         self.mean_worth, self.mean_work = 1e-9, 1.0
@@ -239,8 +241,8 @@
         self.handlers: dict[type, Callable[[int, Any], None]] = {
             api.Arrival: self._arrive, api.AttemptOutcome: self._outcome, api.AttemptNote: self._note,
             api.Departure: self._depart, api.TimerFired: self._fire, api.ListNews: self._list_news,
-            api.Ban: self._ban, api.ProbeResult: self._seen, api.PeerMessage: lambda now, event: None,
-            api.Closing: self._close}
+            api.Ban: self._ban, api.Beside: self._beside, api.ProbeResult: self._seen,
+            api.Closing: self._close, api.PeerMessage: lambda now, event: None}
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         if type(event) not in self.handlers:
@@ -273,7 +275,7 @@
         self.taken.add(now)
         # Danger: refused traffic comes back and takes the tokens of new requests: a marked retry gets none.
         share = self.shares.get(event.tenant or "")
-        beyond = share is not None and (event.retry or not share.take(now))
+        beyond = share is not None and (event.retry or not share.take(now, self.taking))
         request = Request(event.request, view.spec, now + event.patience, view.expected_work(event.estimate),
                           event.estimate, -1 if event.data_set is None else event.data_set,
                           event.key if view.spec.in_order else None, beyond, now,
@@ -282,12 +284,8 @@
         if request.key is not None:
             self.queues.setdefault(request.key, deque()).append(request)
         if event.patience <= 2 * self.settings.tick or self._waits_too_long(now, request):
-            self._finish(now, request)
-            return
-        if request.key is not None:
-            self._serve_key(now, request.key)
-        else:
-            self._admit(now, request)
+            return self._finish(now, request)
+        self._admit(now, request) if request.key is None else self._serve_key(now, request.key)
         # Rule 1: a final answer a tick before the client gives up. Danger: a refused flood kept until then.
         if not request.done:
             self._timer(request.deadline - self.settings.tick, self._finish, request)
@@ -337,8 +335,7 @@
         return True
 
     def _seen(self, now: int, event: api.ProbeResult) -> None:
-        engine = self.engines.get(event.engine)
-        if engine is None:
+        if (engine := self.engines.get(event.engine)) is None:
             return
         if event.report is not None:
             engine.report, engine.threads_since_report = event.report, 0
@@ -448,7 +445,7 @@
                 engine.cold_luck = 1 / (1 - self.random.random())
                 engine.cold_redraw = now + self.contract.fall
             mine = min(budget * COLD_PART, mine * engine.cold_luck)
-        return engine.cold_sends.at(now) + work <= mine
+        return engine.cold_sends.at(now) + engine.beside.cold + work <= mine
 
     def _healthy(self, now: int, request: Request, engine: Engine) -> bool:
         """An engine held to be out gets one safe trial at a time, unless every engine is held to be out.
@@ -510,19 +507,13 @@
             self._further(now, request)
 
     def _note(self, now: int, event: api.AttemptNote) -> None:
+        """A sign of life. Engines of this kind tell no progress that could be heeded."""
         if (engine := self.engines.get(event.engine)) is not None:
             engine.last_sign = now
-            request = self.requests.get(event.request)
-            attempt = engine.out.get((event.request, event.attempt))
-            if (request and attempt and event.kind is NoteKind.PROGRESS
-                    and now - attempt.sent > event.value * (request.deadline - request.taken) > 0):
-                self._review(now, request, event.attempt)
 
     def _outcome(self, now: int, event: api.AttemptOutcome) -> None:
-        engine = self.engines.get(event.engine)
-        request = self.requests.get(event.request)
-        attempt = request.out.pop(event.attempt, None) if request is not None else None
-        if request is None or attempt is None:
+        engine, request = self.engines.get(event.engine), self.requests.get(event.request)
+        if request is None or (attempt := request.out.pop(event.attempt, None)) is None:
             return
         if event.result in NEVER_RAN:
             request.may_have_run.remove(attempt)
@@ -563,9 +554,6 @@
             request.erred.append(engine)
         if bad or event.result is Result.SERVED:
             self._blame(engine, bad)
-        if event.result is Result.SERVED:  # danger: an error may be the client's fault, but not where served
-            for other in request.erred:
-                self._blame(other, True)
         if event.result is Result.FULL:
             engine.full_until = self.pool.full_until = now + TRIAL_GAP
         if event.result is Result.CONNECT_FAILED or (event.result is Result.RESET
@@ -573,8 +561,9 @@
             engine.suspect, engine.next_trial = True, now + TRIAL_GAP
         if event.result is not Result.SERVED:
             return
-        engine.suspect = False
-        engine.last_sign = now
+        for other in request.erred:  # danger: an error may be the client's fault, but not where served
+            self._blame(other, True)
+        engine.suspect, engine.last_sign = False, now
         if now == self.stalled:  # danger: the latency holds the time that this gateway stood still
             return
         ratio = max(1 / OVERDUE, event.latency / max(1, request.run_time()))
@@ -730,6 +719,19 @@
             self._renew(engine, event.at)  # danger: the list tells of its restart late, or not at all
         self._measure_pool()
 
+    def _beside(self, now: int, event: api.Beside) -> None:
+        """Danger: two processes that each fill the whole share overrun engines, cold ones first."""
+        self.taking = event.taking
+        for number, engine in self.engines.items():
+            was, engine.beside = engine.beside, event.out.get(number, api.Outstanding(0, 0, 0))
+            engine.threads_out += engine.beside.threads - was.threads
+            engine.backlog += engine.beside.backlog - was.backlog
+
+    def outstanding(self, now: int) -> dict[int, api.Outstanding]:
+        """Ours alone, for the other processes."""
+        return {number: api.Outstanding(e.threads_out - e.beside.threads, e.backlog - e.beside.backlog,
+                                        e.cold_sends.at(now)) for number, e in self.engines.items()}
+
     def avoided(self) -> int:
         """Engines of the list that get nothing, by the operators' word or by our own choice."""
         return sum(e.suspect or e.entry.engine in self.banned for e in self.engines.values()
--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -16,6 +16,7 @@
 
 from .config import Config
 from .facade import (
+    Beside,
     Closing,
     Ended,
     EngineBan,
@@ -48,6 +49,7 @@
 HELD_PAUSE_MS = 1_000
 LEAST_ENGINES = 4        # connections to engines, whatever the limit
 RESERVED = (24, 96)      # descriptors for the listener, the bus, the log and some in hand: an eighth, within
+BACK_FOR_GOOD = 600_000_000_000  # ns after which it is of no more use that an engine was called back
 MOST_CALLERS = 12        # operators' calls at once; their descriptors are kept for them
 METER = {"busy": "utilisation", "util": "utilisation", "q": "queue", "queue": "queue",
          "x0": "memory", "x1": "disk"}
@@ -95,26 +97,35 @@
         self.bans = Bans()
         self.figures = Figures(self.deadlines)
         self.concurrent = 0  # requests taken that have no final answer and whose client has not left
-        # Engines get three eighths of the descriptors, since most attempts have a connection of their own.
-        # Danger: many clients ask once and stay a while; a third at the least, and all the rest, is theirs.
-        reserved = min(RESERVED[1], max(RESERVED[0], config.sockets // 8))
-        # Danger: floods of clients must not keep the operators' calls out.
-        reserved += MOST_CALLERS + 1 if config.operator is not None else 0
-        beside = config.sockets - config.sockets // 3 - reserved
-        most = max(LEAST_ENGINES, min(config.sockets * 3 // 8, beside))
-        self.most_clients = config.sockets - most - reserved
         self.pools = Pools(self, log, streams=config.streams,
                            connect_timeout=config.connect_timeout, conn_idle=config.conn_idle,
-                           most=most, unsent=self._unsent)
+                           unsent=self._unsent)
+        self.divide(1, 0)
         self.requests: dict[str, OpenRequest] = {}
         self.ids: dict[bytes, list[OpenRequest]] = {}  # the open requests again, by the client's id
         self.probing: dict[bytes, tuple[int, int]] = {}
         self.later: list[tuple[Attempt, Result]] = []
         self.count = 0
         self.held = 0
+
+    def divide(self, processes: int, clients: int) -> None:
+        """What this process may hold, beside others of this broker that hold so many clients.
+
+        Engines get three eighths of the descriptors, since most attempts have a connection of their own.
+        Danger: many clients ask once and stay a while; a third at the least, and all the rest, is theirs."""
+        sockets = self.config.sockets
+        reserved = min(RESERVED[1], max(RESERVED[0], sockets // 8))
+        # Danger: floods of clients must not keep the operators' calls out.
+        reserved += MOST_CALLERS + 1 if self.config.operator is not None else 0
+        reserved *= processes
+        beside = sockets - sockets // 3 - reserved
+        most = max(LEAST_ENGINES, min(sockets * 3 // 8, beside))
+        every = sockets - most - reserved
+        self.most_clients = max(every // (2 * processes), every - clients)
+        self.pools.limit(max(LEAST_ENGINES, most // processes))
         # Danger: past its memory the process is killed, with all that it had taken. A quarter each of what is
         # left goes to statements of open requests, frames that are half here, and answers nobody reads.
-        self.room = max(LEAST_ROOM, (config.memory_mb - BASE_MB << 20) // 4)
+        self.room = max(LEAST_ROOM, (self.config.memory_mb // processes - BASE_MB << 20) // 4)
 
     def now(self) -> int:
         return self.clock.now()
@@ -206,6 +217,7 @@
         """The operators' word on an engine, said to us or to a process beside us."""
         if not self.bans.say(uid, word):
             return
+        self.bans.forget(self.now() - BACK_FOR_GOOD)
         number = self.engines.number(uid)
         self._report(EngineBan(number, word.out, word.at))
         if (pool := self.pools.get(number)) is not None:
@@ -216,6 +228,10 @@
         self.pools.count_written()
         return self.figures.text(self.concurrent, len(self.engines.by_uid), self.facade.avoided())
 
+    def beside(self, others: Beside) -> None:
+        """What the other processes of this broker have out counts with ours."""
+        self._report(others)
+
     # --- time and news ---
 
     def tick(self) -> None:
@@ -246,7 +262,7 @@
 
     # --- orders ---
 
-    def _report(self, news: Ended | Probed | Left | EngineNews | EngineBan | Closing) -> None:
+    def _report(self, news: Ended | Probed | Left | EngineNews | EngineBan | Beside | Closing) -> None:
         now = self.now()
         try:
             self._carry_out(now, self.facade.report(now, news))
--- a/larchhall/config.py
+++ b/larchhall/config.py
@@ -160,6 +160,7 @@
     bus: tuple[str, int] | None
     operator: tuple[str, int] | None  # where the operators' calls come in
     accept_fd: int | None             # the clients' listening socket, where the platform holds it
+    folder: str                       # shared with another process of this broker
     known_offset: int
     known: tuple[BusEvent, ...]
     connect_timeout: int
@@ -223,7 +224,7 @@
                             "limits.memory_mb"),
         bus=_address(bus, "bus") if bus else None,
         operator=_address(operator, operator_key) if operator else None,
-        accept_fd=int(accept_fd) if accept_fd else None,
+        accept_fd=int(accept_fd) if accept_fd else None, folder=environ.get("TMPDIR") or "/tmp",
         known_offset=get(known, "known.offset", "whole number", events[-1].offset if events else 0),
         known=events, connect_timeout=connect_timeout, conn_idle=conn_idle, streams=streams,
         settings=settings)
--- a/larchhall/facade.py
+++ b/larchhall/facade.py
@@ -12,11 +12,11 @@
 
 from . import interface as api
 from .brain import AdmissionController
-from .interface import EngineEntry, EngineState, LoadReport, Result
+from .interface import EngineEntry, EngineState, LoadReport, Outstanding, Result
 from .state.wheel import Wheel
 
-__all__ = ["Closing", "Ended", "EngineBan", "EngineEntry", "EngineNews", "EngineState", "Facade", "Left",
-           "LoadReport", "Orders", "Probed", "Query", "Result", "SendOrder", "Verdict"]
+__all__ = ["Beside", "Closing", "Ended", "EngineBan", "EngineEntry", "EngineNews", "EngineState", "Facade",
+           "Left", "LoadReport", "Orders", "Outstanding", "Probed", "Query", "Result", "SendOrder", "Verdict"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,12 +78,20 @@
     at: int
 
 
+@dataclass(frozen=True, slots=True)
+class Beside:
+    """What other processes of this broker have out, by engine; how many processes take requests, with us."""
+
+    out: dict[int, Outstanding]
+    taking: int
+
+
 @dataclass(frozen=True, slots=True)
 class Closing:
     """The broker is about to end: what is open must be closed out now."""
 
 
-News = Ended | Probed | Left | EngineNews | EngineBan | Closing
+News = Ended | Probed | Left | EngineNews | EngineBan | Beside | Closing
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,6 +150,8 @@
                 event = api.ListNews(api.ListKind.FULL if full else api.ListKind.CHANGES, entries)
             case EngineBan(engine, out, at):
                 event = api.Ban(engine, out, at)
+            case Beside(beside, taking):
+                event = api.Beside(beside, taking)
             case Closing():
                 event = api.Closing()
         return self._handle(now, orders, event)
@@ -159,6 +169,10 @@
         """How many listed engines the decisions leave out, by hand or by choice."""
         return self.controller.avoided()
 
+    def outstanding(self, now: int) -> dict[int, Outstanding]:
+        """What this process has out, for others of this broker."""
+        return self.controller.outstanding(now)
+
     def _fired(self, token: int) -> Callable[[], None]:
         return lambda: self.due.append(token)
 
--- a/larchhall/interface.py
+++ b/larchhall/interface.py
@@ -5,8 +5,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 
 class Effect(Enum):
@@ -238,6 +240,23 @@
     at: int
 
 
+class Outstanding(NamedTuple):
+    """What one process of a gateway has out on an engine, and has sent it lately while it was cold."""
+
+    threads: int
+    backlog: int  # thread-nanoseconds, as is ``cold``
+    cold: int
+
+
+@dataclass(frozen=True, slots=True)
+class Beside:
+    """Other processes of this gateway: theirs and ours go by one share. ``taking`` of them, with us, take
+    requests."""
+
+    out: Mapping[int, Outstanding]
+    taking: int
+
+
 @dataclass(frozen=True, slots=True)
 class Closing:
     """The gateway is about to end: every open request gets its final answer now."""
@@ -262,7 +281,7 @@
     payload: bytes
 
 
-Event = (ListNews | Arrival | AttemptOutcome | AttemptNote | Departure | Ban | Closing | TimerFired
+Event = (ListNews | Arrival | AttemptOutcome | AttemptNote | Departure | Ban | Beside | Closing | TimerFired
          | ProbeResult | PeerMessage)
 
 
--- a/larchhall/lifecycle/boot.py
+++ b/larchhall/lifecycle/boot.py
@@ -8,7 +8,7 @@
 import resource
 import signal
 import socket
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import replace
 from typing import Any
 
@@ -16,12 +16,14 @@
 
 from ..broker import Broker
 from ..config import Config, ConfigError, load, waiting_for_restart
+from ..facade import Beside, Outstanding
 from ..state.wheel import Clock
 from ..wire.client import ClientConnection
 from ..wire.feed import Feed
 from .drain import Drain
 from .log import Log
 from .operations import Operations
+from .siblings import Siblings
 
 BACKLOG = 1_024
 SWEEP = 0.25            # s between looks at idle connections and slow readers
@@ -79,6 +81,8 @@
         self.partial = 0  # bytes of frames that are not whole yet
         self.server: asyncio.Server | None = None
         self.operations = Operations(self)
+        # Without an inherited socket no second process can listen: nobody is beside us.
+        self.siblings = None if config.accept_fd is None else Siblings(self, config.folder)
         self.feed: Feed | None = None
         self.listed = False
         self.drain = Drain(self)
@@ -111,6 +115,17 @@
         victim.drop() if victim.broken else victim.let_go()
         return True
 
+    def share(self, others: Collection[dict[str, Any]]) -> None:
+        """Other processes of this broker are beside us, or have ended: its limits hold for all together."""
+        out: dict[int, Outstanding] = {}
+        for other in others:
+            for number, theirs in other["out"].items():
+                so_far = out.get(number, Outstanding(0, 0, 0))
+                out[number] = Outstanding(*(a + b for a, b in zip(so_far, theirs, strict=True)))
+        self.broker.beside(Beside(out, 1 + sum(other["accepting"] for other in others)))
+        self.broker.divide(1 + len(others), sum(other["clients"] for other in others))
+        self.most_clients = self.broker.most_clients
+
     def went(self, connection: ClientConnection) -> None:
         self.clients.discard(connection)
 
@@ -130,6 +145,9 @@
             loop.add_signal_handler(number, self.drain.begin)
         # Danger: without a handler, the signal that asks for the new configuration ends the process.
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        if self.siblings is not None:
+            self.siblings.start()
+            self.siblings.look()
         if self.config.bus is not None:
             self._follow(self.config.bus)
         if self.config.operator is not None:
@@ -213,6 +231,8 @@
     def stop(self) -> None:
         self.broker.pools.close()
         self.operations.close()
+        if self.siblings is not None:
+            self.siblings.stop()
         if self.feed is not None:
             self.feed.stop()
         self.stopped.set()
--- a/larchhall/lifecycle/drain.py
+++ b/larchhall/lifecycle/drain.py
@@ -9,8 +9,10 @@
     from .boot import Node
 
 GO_ON = 0.65         # s after SIGTERM in which nothing changes: clients come for 0.4 s, ask for 0.2 s more
+HANDED_OVER = 0.7    # s after SIGTERM beside a successor in which requests on open connections are waited for
 LINGER = 0.1         # s after the word to leave in which a request that crossed it may still come
 LONGEST = 3.0        # s; the longest deadline counts as this where it is longer
+LONGEST_HELD = 5.0   # the same where the platform holds the clients' socket
 KILL = 0.7           # s that a SIGKILL comes after that, at the soonest
 MARGIN = 0.4         # s before the SIGKILL: everything open is closed out
 FLUSH = 0.25         # s in which the last answers may leave
@@ -24,25 +26,36 @@
         self.begun_at = 0
         self.closed_out = False
         deadline = max(c.deadline for c in node.config.settings.classes) / 1e9
-        self.last = min(deadline, LONGEST) + KILL - MARGIN
+        held = node.config.accept_fd is not None
+        self.last = min(deadline, LONGEST_HELD if held else LONGEST) + KILL - MARGIN
 
     def begin(self) -> None:
         if self.begun_at:
             return
         self.begun_at = self.node.clock.now()
-        self.node.log("stop", "SIGTERM: going on, then draining")
         self.loop = asyncio.get_running_loop()
-        self.loop.call_later(GO_ON, self._leave)
+        siblings = self.node.siblings
+        if siblings is not None:
+            siblings.poll()
+        if siblings is not None and siblings.successor():
+            self.node.log("stop", "SIGTERM: another process takes what comes, draining")
+            self._leave(HANDED_OVER)
+        else:
+            self.node.log("stop", "SIGTERM: going on, then draining")
+            self.loop.call_later(GO_ON, self._leave)
 
-    def _leave(self) -> None:
+    def _leave(self, linger: float = LINGER) -> None:
         """Danger: to close at once would break connections that the front still hands us."""
         node = self.node
         if node.server is not None:
             node.server.close()
         node.leaving = True
+        if node.siblings is not None:
+            node.siblings.accepting = False
+            node.siblings.tell()
         for client in list(node.clients):
             client.leave_off()
-        self.loop.call_later(LINGER, self._look)
+        self.loop.call_later(linger, self._look)
 
     def _look(self) -> None:
         passed = (self.node.clock.now() - self.begun_at) / S
--- a/larchhall/lifecycle/operations.py
+++ b/larchhall/lifecycle/operations.py
@@ -43,6 +43,8 @@
 
     def set_engine(self, uid: str, out: bool) -> bool:
         done = self.node.broker.set_engine(uid, out)
+        if done and self.node.siblings is not None:
+            self.node.siblings.tell()  # danger: after the yes it holds, also where a request went elsewhere
         self.log("operator", f"{'out' if out else 'back'}: {uid[:80]!r} {'done' if done else 'is not known'}")
         return done
 
--- a/larchhall/state/pools.py
+++ b/larchhall/state/pools.py
@@ -169,14 +169,20 @@
     """All pools, and the count of descriptors that they may hold together."""
 
     def __init__(self, owner: Owner, log: Callable[[str, str], None], *, streams: int,
-                 connect_timeout: int, conn_idle: int, most: int,
+                 connect_timeout: int, conn_idle: int,
                  unsent: Callable[[Attempt, Result], None]) -> None:
         self.owner, self.log, self.unsent = owner, log, unsent
-        self.streams, self.connect_timeout, self.most = streams, connect_timeout, most
+        self.streams, self.connect_timeout, self.most = streams, connect_timeout, 0
         # Danger: a send that meets the engine's idle close is lost: we close long before.
         self.idle = conn_idle // 2
         self.by_number: dict[int, EnginePool] = {}
 
+    def limit(self, most: int) -> None:
+        """How many connections there may be from now on; idle ones past that end."""
+        self.most = most
+        while self._held() > most and self._close_idle():
+            pass
+
     def get(self, number: int) -> EnginePool | None:
         return self.by_number.get(number)
 
@@ -200,11 +206,12 @@
 
     def make_room(self) -> bool:
         """Danger: descriptors run out and clients can't come in: engines take no more than their part."""
-        if self._held() <= self.most:  # the one that is opening counts already
-            return True
+        return self._held() <= self.most or self._close_idle()  # the one that is opening counts already
+
+    def _close_idle(self) -> bool:
         for pool in self.by_number.values():
             for connection in pool.connections:
-                if not connection.open and not connection.probes:
+                if not connection.open and not connection.probes and not connection.closed:
                     connection.close()
                     return True
         return False
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,185 @@
+"""Two processes of one broker: the inherited socket, what they tell each other, and the handover."""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import os
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from larchhall import interface as api
+from larchhall.config import Config
+from larchhall.lifecycle.siblings import Siblings, said_by
+from larchhall.wire import frames
+
+from .helpers import MS, Harness, S, entry, make_settings, query_class
+from .sockets import Engine, Rig, make_config, on_uvloop, running, target, until, within
+from .test_lifecycle import ROOT, write_config
+
+
+@asynccontextmanager
+async def beside(config: Config, held: socket.socket, folder: Path) -> AsyncIterator[Rig]:
+    """A process of the broker on the platform's socket."""
+    async with running(replace(config, accept_fd=os.dup(held.fileno()), folder=str(folder))) as rig:
+        yield rig
+
+
+def siblings(rig: Rig) -> Siblings:
+    assert rig.node.siblings is not None
+    return rig.node.siblings
+
+
+async def meet(*rigs: Rig) -> None:
+    await until(lambda: all(siblings(rig).others for rig in rigs))
+
+
+@on_uvloop
+async def test_a_ban_told_to_one_process_holds_at_the_other_and_so_does_the_call_back(tmp_path: Path) -> None:
+    engine = Engine()
+    config = make_config(target("s-1", await engine.start()), operator=True)
+    with socket.create_server(("127.0.0.1", 0)) as held:
+        async with beside(config, held, tmp_path) as old:
+            assert old.node.operations.set_engine("s-1", out=True)
+            async with beside(config, held, tmp_path) as new:
+                assert new.node.broker.bans.out("s-1")  # before it serves anybody
+                assert new.node.broker.facade.avoided() == 1
+                await meet(old, new)
+                assert new.node.operations.set_engine("s-1", out=False)
+                await until(lambda: not old.node.broker.bans.out("s-1"))
+                (known,) = old.node.broker.facade.controller.engines.values()
+                assert known.cold_until > old.node.clock.now()
+                assert old.node.operations.set_engine("s-1", out=True)
+                await until(lambda: new.node.broker.bans.out("s-1"))
+
+
+@on_uvloop
+async def test_at_sigterm_the_old_one_leaves_the_queue_to_the_new_one_and_serves_what_it_has(
+        tmp_path: Path) -> None:
+    """Danger: a shutdown of the shared socket would end it for the new process and the platform."""
+    engine = Engine(lambda *_: None)
+    config = make_config(target("s-1", await engine.start()))
+    with socket.create_server(("127.0.0.1", 0)) as held:
+        async with beside(config, held, tmp_path) as old:
+            client = await old.client()
+            client.ask(stream=1)
+            await until(lambda: engine.words(b"do"))
+            async with beside(config, held, tmp_path) as new:
+                await meet(old, new)
+                old.node.drain.begin()
+                assert await client.frame() == (frames.NO_MORE, 0, b"")
+                client.ask(stream=2, trace="2" * 16)  # it crossed the word to leave off
+                await until(lambda: len(engine.words(b"do")) == 2)
+                newcomers = [await new.client() for _ in range(5)]
+                await until(lambda: len(new.node.clients) == 5)
+                assert not old.node.ready() and not siblings(old).accepting and len(old.node.clients) == 1
+                for do in engine.words(b"do"):
+                    engine.serve(do, engine.writer_of(do))
+                assert {(await client.answer())[:2] for _ in "12"} == {(1, frames.SERVED), (2, frames.SERVED)}
+                await within(old.node.stopped.wait())
+                newcomers[0].ask(trace="3" * 16)
+                await until(lambda: len(engine.words(b"do")) == 3)
+                await until(lambda: not siblings(new).others)
+        assert not os.listdir(tmp_path)
+        (await asyncio.open_connection(*held.getsockname()))[1].close()  # it listens still
+
+
+@on_uvloop
+async def test_alone_on_an_inherited_socket_it_goes_on_taking_after_sigterm(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as held:
+        async with beside(make_config(target("s-1", 9)), held, tmp_path) as rig:
+            rig.node.drain.begin()
+            assert rig.node.ready() and rig.node.server is not None and rig.node.server.is_serving()
+
+
+@on_uvloop
+async def test_limits_are_divided_while_two_live_and_given_back(tmp_path: Path) -> None:
+    config = make_config(target("s-1", 9), operator=True)
+    with socket.create_server(("127.0.0.1", 0)) as held:
+        async with beside(config, held, tmp_path) as old:
+            whole = old.node.most_clients, old.node.broker.pools.most, old.node.broker.room
+            async with beside(config, held, tmp_path) as new:
+                await meet(old, new)
+                for rig in (old, new):
+                    assert rig.node.broker.pools.most <= whole[1] // 2 and rig.node.broker.room < whole[2]
+            await until(lambda: not siblings(old).others)
+            assert (old.node.most_clients, old.node.broker.pools.most, old.node.broker.room) == whole
+            old.node.broker.divide(2, 60)
+            assert old.node.broker.most_clients + 60 + 2 * old.node.broker.pools.most < config.sockets - 50
+
+
+@on_uvloop
+async def test_what_a_killed_process_left_counts_for_nothing(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as held:
+        async with beside(make_config(target("s-1", 9)), held, tmp_path) as rig:
+            name = siblings(rig).prefix + "9-dead"
+            (tmp_path / f"{name}.json").write_text('{"accepting": true, "words": {"s-1": [9, true]}}')
+            (tmp_path / f"{name}.lock").touch()
+            with open(tmp_path / f"{siblings(rig).prefix}8-alive.lock", "w") as lock:
+                fcntl.flock(lock, fcntl.LOCK_EX)
+                (tmp_path / f"{siblings(rig).prefix}8-alive.json").write_text('{"words": {"s-1": [')
+                await until(lambda: siblings(rig).others)
+                assert not (tmp_path / f"{name}.json").exists() and not rig.node.broker.bans.out("s-1")
+                assert not siblings(rig).successor()  # half a file: nothing is known of it
+
+
+@pytest.mark.parametrize("raw", [[], {"words": 3}, {"words": {"a": [1]}}, {"out": {"x": [1, 2, 3]}},
+                                 {"out": {"1": [1]}}, {"clients": None}])
+def test_a_file_that_none_of_us_wrote_is_refused(raw: Any) -> None:
+    with pytest.raises((ValueError, TypeError, AttributeError)):
+        said_by(raw)
+
+
+@pytest.mark.parametrize("descriptor", ["x", "-1", "99", "1"])
+def test_a_descriptor_that_is_no_listening_socket_is_a_faulty_key(tmp_path: Path, descriptor: str) -> None:
+    env = {**write_config(tmp_path), "PROXY_ACCEPT_FD": descriptor}
+    done = subprocess.run([sys.executable, "-m", "larchhall"], env=env, cwd=ROOT, capture_output=True,
+                          text=True, check=False)
+    assert done.returncode == 2 and done.stderr.startswith("larchhall: PROXY_ACCEPT_FD: ")
+
+
+# --- the module: two processes go by one share ---
+
+def test_work_of_the_other_process_counts_against_the_bound_and_ends_with_it() -> None:
+    """Danger: each fills the whole share, and together they overrun the engine."""
+    h = Harness(make_settings(), entry(1))
+    bound = int(h.controller.engines[1].bound)
+    h.do(api.Beside({1: api.Outstanding(40, bound, 0), 7: api.Outstanding(1, 1, 1)}, 2))
+    h.arrive("r", estimate=100 * MS)
+    assert not h.sends("r") and isinstance(h.answers("r")[0], api.Refuse)
+    assert h.controller.outstanding(h.now)[1] == api.Outstanding(0, 0, 0)  # theirs is not told back as ours
+    h.do(api.Beside({}, 1))
+    assert h.backlog() == 0
+    h.arrive("s", estimate=100 * MS)
+    assert h.sends("s")
+
+
+def test_a_cold_engine_gets_no_more_of_two_processes_than_of_one() -> None:
+    h = Harness(make_settings(), entry(1, started=100 * S))
+    h.do(api.Beside({1: api.Outstanding(0, 0, 2 * S)}, 2))
+    h.arrive("r", estimate=100 * MS)
+    assert not h.sends("r")
+    h.do(api.Beside({}, 1))
+    h.arrive("s", estimate=100 * MS)
+    assert h.sends("s")
+
+
+def test_a_tenant_s_share_is_halved_between_two_that_take_requests() -> None:
+    tenants = (api.Tenant("a", 4.0),)
+
+    def within_share(taking: int) -> int:
+        h = Harness(make_settings(query_class(), tenants=tenants), entry(1))
+        h.do(api.Beside({}, taking))
+        for i in range(10):
+            h.arrive(f"r{i}", estimate=MS, tenant="a")
+        return sum(not r.over_share for r in h.controller.requests.values())
+
+    assert (within_share(1), within_share(2)) == (8, 4)
