SIGHUP takes new settings in one step; a file that lacks a key is turned down whole

Also: an integer past 10^308 raised OverflowError in config.get. Ruled out: files turned down wrongly (the log shows the two bad ones turned down, the good ones taken).

--- a/larchhall/books.py
+++ b/larchhall/books.py
@@ -34,6 +34,10 @@
     best: float = 1.0            # the lowest slowdown, drifting up
     full_until: int = 0
 
+    def rescale(self, start: float) -> None:
+        """Another start: the bound keeps its place against it."""
+        self.bound, self.start = (self.bound / self.start if self.start > 0 else 1) * start, start
+
 
 @dataclass(slots=True)
 class Attempt:
@@ -50,7 +54,7 @@
 @dataclass(slots=True)
 class Request:
     id: str
-    spec: api.RequestClass
+    view: Any            # of its class, as it was when the request came; settings may change since
     deadline: int        # when the client gives up
     work: int            # expected, in thread-nanoseconds
     estimate: int | None
@@ -69,6 +73,10 @@
     erred: list[Any] = field(default_factory=list)  # engines that answered it with an error
     done: bool = False
 
+    @property
+    def spec(self) -> api.RequestClass:
+        return self.view.spec  # type: ignore[no-any-return]
+
     def run_time(self) -> int:
         return self.work // self.spec.threads
 
@@ -79,8 +87,9 @@
 class TokenBucket:
     """``rate`` tokens a nanosecond, ``most`` saved up; full at the start."""
 
-    def __init__(self, rate: float, most: float, now: int) -> None:
-        self.rate, self.most, self.tokens, self.at = rate, most, most, now
+    def __init__(self, rate: float, most: float, now: int, before: TokenBucket | None = None) -> None:
+        self.rate, self.most, self.at = rate, most, now
+        self.tokens: float = most if before is None else min(most, before.tokens)
 
     def take(self, now: int, tokens: float = 1.0) -> bool:
         self.tokens, self.at = min(self.most, self.tokens + self.rate * (now - self.at)), now
--- a/larchhall/brain.py
+++ b/larchhall/brain.py
@@ -1,7 +1,6 @@
 """Every decision of the gateway. Types, events and actions: `interface.py` (read that first).
 
-Times are integer nanoseconds, backlogs integer thread-nanoseconds.
-"""
+Times are integer nanoseconds, backlogs integer thread-nanoseconds."""
 
 from __future__ import annotations
 
@@ -43,12 +42,11 @@
 APART = 0.1             # weight of an engine on the wrong side of that parting
 COLD_SET = 0.5          # weight of an engine that does not keep the data set warm, where no class is a load
 BESIDE_LOAD = 0.05      # weight where our own load holds the data set that the query reads
-# --- Looks: probes before a send, only where our share of an engine is under one query ---
-LOOKS = 3               # engines probed for one query; its draw is among those that answer
+LOOKS = 3               # engines probed before a send, where our share is under one query
 LOOK_SHARE = 0.6        # probes for each arrival at the most: bounds their price and load by construction
 LOOK_WAIT = 0.1         # of the shortest aim: how long the answers are waited for
 LOOK_WORTH = 0.5        # of the dearest class's worth: classes below it go by what is known
-# --- Estimates and health ---
+# --- Estimates, health, attempts and guards ---
 CALM_LOAD = 1.0         # threads a core; only work sent below this teaches what a query costs by itself
 BIAS_QUANTILE = 0.3     # of (latency x threads / estimate): below the middle, since contention only adds
 BIAS_STEP = 0.05        # log step of that quantile; the first answers move it faster
@@ -58,7 +56,6 @@
 ONE_RESET = 0.3         # more than one reset adds to that share; a second soon after tells of a dead process
 SILENCE = 1.0           # of the shortest aim: an engine that owes answers and gives none for so long
 TRIAL_GAP = PERIOD      # between single trials on an engine held to be out or full; so long full is pressure
-# --- Attempts and guards ---
 COPY = 3.0              # times its expected time: a second copy, where allowed and harmless, runs beside it
 OVERDUE = 6.0           # times its expected time: an attempt held to have a bad plan
 GRANT_MARGIN = 1.2      # times the estimated memory, where grants are heeded; more makes others spill
@@ -209,18 +206,14 @@
     """One gateway's decisions: `handle` takes an event at the caller's time and returns actions."""
 
     def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
-        self.settings, self.contract, self.limits = settings, settings.contract, settings.limits
         self.random = random.Random(seed)
-        self.views = {c.name: ClassView(c) for c in settings.classes}
-        self.longest_aim = max(c.aim for c in settings.classes)
-        self.shortest_aim = min(c.aim for c in settings.classes)
-        self.widest = max(c.threads for c in settings.classes)
+        self.views: dict[str, ClassView] = {}
+        self.shares: dict[str, TokenBucket] = {}
         self.engines: dict[int, Engine] = {}
         self.banned: set[int] = set()
         self.taking = 1  # processes of this gateway that take requests
         self.looking: dict[str, Request] = {}
-        self.look_tokens = 0.0
-        self.mean_worth, self.mean_work = 1e-9, 1.0
+        self.look_tokens, self.mean_worth, self.mean_work = 0.0, 1e-9, 1.0
         self.pool = Pool(held=FadingMean(MEMORY, now))
         self.thin = False  # our share of an engine is under one query: the pool's loop decides as well
         self.requests: dict[str, Request] = {}
@@ -230,19 +223,33 @@
         self.held_sets: Counter[tuple[int, int]] = Counter()  # (engine, data set): our loads there
         self.groups: defaultdict[str, float] = defaultdict(float)  # failure share by room and by kind
         self.ranks: dict[int, dict[int, float]] = {}
-        self.shares = {t.name: TokenBucket(rate / PERIOD, rate * TENANT_BURST, now) for t in settings.tenants
-                       for rate in [t.quota_per_s / settings.fleet_size]}
-        self.taken, self.further = (SlidingSum(self.contract.budget_window) for _ in range(2))
+        self.taken, self.further = (SlidingSum(settings.contract.budget_window) for _ in range(2))
         self.period_arrivals, self.period_refusals, self.refused_share = 0, 0, 0.0
         self.timers: dict[int, tuple[Callable[..., None], tuple[Any, ...]]] = {}
         self.next_token = 0
         self.period_due, self.stalled = now + PERIOD, -1
+        self._retune(now, api.Retuned(settings))
         self.actions: list[api.Action] = []
         self.handlers: dict[type, Callable[[int, Any], None]] = {
             api.Arrival: self._arrive, api.AttemptOutcome: self._outcome, api.AttemptNote: self._note,
             api.Departure: self._depart, api.TimerFired: self._fire, api.ListNews: self._list_news,
             api.Ban: self._ban, api.Beside: self._beside, api.ProbeResult: self._seen,
-            api.Closing: self._close, api.PeerMessage: lambda now, event: None}
+            api.Retuned: self._retune, api.Closing: self._close, api.PeerMessage: lambda now, event: None}
+
+    def _retune(self, now: int, event: api.Retuned) -> None:
+        """For all that comes from now on; classes that stay keep what was learned. Danger: a request under
+        way may not change its class's terms, above all whether it may run twice: it keeps its view."""
+        settings = self.settings = event.settings
+        self.contract, self.limits, classes = settings.contract, settings.limits, settings.classes
+        self.views = {c.name: replace(self.views.get(c.name, ClassView(c)), spec=c) for c in classes}
+        self.longest_aim, self.shortest_aim = max(c.aim for c in classes), min(c.aim for c in classes)
+        self.widest = max(c.threads for c in classes)
+        self.shares = {t.name: TokenBucket(rate / PERIOD, rate * TENANT_BURST, now, self.shares.get(t.name))
+                       for t in settings.tenants for rate in [t.quota_per_s / settings.fleet_size]}
+        self.taken.span = self.further.span = self.contract.budget_window
+        for engine in self.engines.values():
+            self._measure(engine)
+        self._measure_pool()
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         if type(event) not in self.handlers:
@@ -261,11 +268,8 @@
         self.next_token += 1
 
     def _fire(self, now: int, event: api.TimerFired) -> None:
-        call, about = self.timers.pop(event.token, (None, ()))
-        if call is not None:
-            call(now, *about)
-
-    # --- A request arrives ---
+        call, about = self.timers.pop(event.token, (lambda now: None, ()))
+        call(now, *about)
 
     def _arrive(self, now: int, event: api.Arrival) -> None:
         if (view := self.views.get(event.class_name)) is None:
@@ -276,7 +280,7 @@
         # Danger: refused traffic comes back and takes the tokens of new requests: a marked retry gets none.
         share = self.shares.get(event.tenant or "")
         beyond = share is not None and (event.retry or not share.take(now, self.taking))
-        request = Request(event.request, view.spec, now + event.patience, view.expected_work(event.estimate),
+        request = Request(event.request, view, now + event.patience, view.expected_work(event.estimate),
                           event.estimate, -1 if event.data_set is None else event.data_set,
                           event.key if view.spec.in_order else None, beyond, now,
                           max(0.0, event.memory_mb or 0.0))
@@ -294,9 +298,9 @@
         """Danger: a key's requests run one at a time; a queue longer than the aim makes all of them late."""
         if request.key is None or len(self.queues[request.key]) == 1:
             return False
-        return request.aim() < sum(
-            max(0.0, self.views[r.spec.name].expected_time(r.work)
-                - max((now - a.sent for a in r.out.values()), default=0)) for r in self.queues[request.key])
+        return bool(request.aim() < sum(
+            max(0.0, r.view.expected_time(r.work)
+                - max((now - a.sent for a in r.out.values()), default=0)) for r in self.queues[request.key]))
 
     def _admit(self, now: int, request: Request) -> None:
         """The ordinary path: a weighted draw among the engines where the query fits, else refusal at once."""
@@ -324,8 +328,7 @@
                 or self.look_tokens < LOOKS or all(e.report is None for e in engines)
                 or request.spec.worth < LOOK_WORTH * max(c.worth for c in self.settings.classes)):
             return False
-        self.look_tokens -= LOOKS
-        request.looked = True
+        self.look_tokens, request.looked = self.look_tokens - LOOKS, True
         for _ in range(LOOKS):
             engine = self._draw(request, [e for e in engines if e.entry.engine not in request.looks])
             request.looks.append(engine.entry.engine)
@@ -346,7 +349,6 @@
                 self._decide(now, request)
 
     def _decide(self, now: int, request: Request) -> None:
-        """All looks are back or waited for long enough."""
         if self.looking.pop(request.id, None) is not None and not request.done:
             self._admit(now, request)
 
@@ -354,9 +356,8 @@
         return self.random.choices(engines, [self._weight(request, e) for e in engines])[0]
 
     def _weight(self, request: Request, engine: Engine) -> float:
-        failing = engine.failures
-        if self.thin:
-            failing = max(failing, self.groups[engine.entry.zone], self.groups[engine.entry.kind])
+        groups = (engine.entry.zone, engine.entry.kind) if self.thin else ()
+        failing = max(engine.failures, *(self.groups[group] for group in groups), 0.0)
         weight = engine.cores * ((1 - failing) / (IDLE_LOAD + engine.load())) ** SHARPNESS
         weight /= max(1.0, engine.slowdown / engine.best) * engine.slowdown
         if engine.entry.zone != self.settings.zone:
@@ -412,8 +413,7 @@
             return False
         if not request.may_have_run or spec.effect is Effect.SAFE:
             return True
-        first = request.may_have_run[0]
-        origin = self.engines.get(first.engine)
+        origin = self.engines.get((first := request.may_have_run[0]).engine)
         if spec.effect is Effect.UNSAFE or now - first.sent >= spec.window - 2 * self.settings.tick:
             return False
         return spec.scope is Scope.ALL or (
@@ -434,16 +434,15 @@
 
     def _cold_allows(self, now: int, engine: Engine, work: int) -> bool:
         """Rule 4. Danger: a fresh engine falls over and stays down. Our share of its budget, any window."""
-        if now >= engine.cold_until or self.contract.fall <= 0:
+        rules = self.contract
+        if now >= engine.cold_until or rules.fall <= 0:
             return True
-        budget = (self.contract.cold_from * engine.cores * self.contract.fall * self.contract.fall_multiple
-                  / COLD_SAFETY)
+        budget = rules.cold_from * engine.cores * rules.fall * rules.fall_multiple / COLD_SAFETY
         # Danger: with many gateways a share is under one query and a fresh room idles: shares are drawn.
         mine = budget / self.settings.fleet_size
         if self.thin:
             if now >= engine.cold_redraw:
-                engine.cold_luck = 1 / (1 - self.random.random())
-                engine.cold_redraw = now + self.contract.fall
+                engine.cold_luck, engine.cold_redraw = 1 / (1 - self.random.random()), now + rules.fall
             mine = min(budget * COLD_PART, mine * engine.cold_luck)
         return engine.cold_sends.at(now) + engine.beside.cold + work <= mine
 
@@ -487,8 +486,7 @@
         if now < engine.cold_until:
             engine.cold_sends.add(now, request.work)
         if self.limits.second_copies and request.spec.effect is Effect.SAFE and not attempt.number:
-            wait = int(COPY * self.views[request.spec.name].expected_time(request.work))
-            self._timer(now + wait, self._copy, request)
+            self._timer(now + int(COPY * request.view.expected_time(request.work)), self._copy, request)
         if self.limits.cancel:
             wait = OVERDUE * 2 ** attempt.number * request.run_time() * max(1.0, engine.slowdown)
             self._timer(now + max(int(wait), self.shortest_aim), self._review, request, attempt.number)
@@ -570,17 +568,13 @@
         for loop in (engine, self.pool):
             loop.delays.append(event.latency / max(1, request.aim()))
             loop.learn(ratio)
-        view = self.views[request.spec.name]
-        view.pace *= (ratio / view.pace) ** LEARN
+        request.view.pace *= (ratio / request.view.pace) ** LEARN
         if attempt.calm:
-            view.learn(request.estimate, event.latency)
+            request.view.learn(request.estimate, event.latency)
 
     def _blame(self, engine: Engine, bad: bool) -> None:
-        engine.failures += ERROR_LEARN * (bad - engine.failures)
-        self._foretell(engine, bad)
-
-    def _foretell(self, engine: Engine, bad: bool) -> None:
         """Danger: a room or a kind is lost at once: failures and silences of a few foretell the rest."""
+        engine.failures += ERROR_LEARN * (bad - engine.failures)
         for group in (engine.entry.zone, engine.entry.kind):
             self.groups[group] += ERROR_LEARN * (bad - self.groups[group])
 
@@ -593,19 +587,17 @@
         return (bool(fit) and len(request.erred) < 2 and request.deadline - now > request.run_time()
                 and self._send(now, request, self._draw(request, fit)))
 
-    # --- The final answer ---
-
     def _finish(self, now: int, request: Request) -> None:
         """Rule 1 and the end of rule 2: refuse where a retry is harmless, else fail; stop what is out."""
         if request.done:
             return
-        effect, scope = request.spec.effect, request.spec.scope
-        if effect is Effect.SAFE or not request.may_have_run or (
-                effect is Effect.KEYED and scope is Scope.ALL):  # a retry is harmless
+        spec = request.spec
+        if not request.may_have_run or spec.effect is Effect.SAFE or (
+                spec.effect is Effect.KEYED and spec.scope is Scope.ALL):  # a retry is harmless
             self.period_refusals += 1
             share = max(self.refused_share, min(1.0, self.period_refusals / max(1, self.period_arrivals)))
-            most = self.limits.max_retry_after if self.limits.retry_after else 0
-            self.actions.append(api.Refuse(request.id, min(int(share * PERIOD), most)))
+            pause = min(int(share * PERIOD), self.limits.max_retry_after) * self.limits.retry_after
+            self.actions.append(api.Refuse(request.id, pause))
         else:
             self.actions.append(api.Fail(request.id))
         self._end(now, request)
@@ -613,8 +605,7 @@
     def _end(self, now: int, request: Request) -> None:
         if not request.done:
             request.done = True
-            if self.limits.cancel:
-                self.actions.extend(api.Cancel(request.id, number) for number in request.out)
+            self.actions.extend(api.Cancel(request.id, n) for n in request.out if self.limits.cancel)
             self._settle(now, request)
 
     def _depart(self, now: int, event: api.Departure) -> None:
@@ -665,8 +656,7 @@
     def _measure_pool(self) -> None:
         """Danger: with many gateways a share is under one query; no engine's own loop hears enough to act."""
         ready = [e for e in self.engines.values() if self._open(e)]
-        before, self.pool.start = self.pool.start, sum(e.start for e in ready)
-        self.pool.bound = (self.pool.bound / before if before > 0 else 1) * self.pool.start
+        self.pool.rescale(sum(e.start for e in ready))
         share = sum(THREADS_A_CORE * e.cores for e in ready) / self.settings.fleet_size
         self.pool.thread_share = share or self.widest
         self.thin = bool(ready) and share / len(ready) < self.widest
@@ -677,7 +667,7 @@
         if (not engine.suspect and now - max(engine.last_sign, self.stalled) > limit
                 and any(now - a.sent > max(limit, a.size) and a.sent >= engine.born
                         for a in engine.out.values())):
-            self._foretell(engine, True)
+            self._blame(engine, True)
             engine.suspect, engine.next_trial = True, now + TRIAL_GAP
 
     def _list_news(self, now: int, news: api.ListNews) -> None:
@@ -685,8 +675,7 @@
         for entry in news.entries:
             self._list_entry(now, entry)
         if news.kind in (ListKind.FULL, ListKind.CACHED):
-            listed = {entry.engine for entry in news.entries}
-            for name in [e for e in self.engines if e not in listed]:
+            for name in self.engines.keys() - {entry.engine for entry in news.entries}:
                 self._remove(name)
         self._measure_pool()
 
@@ -695,17 +684,20 @@
             return self._remove(entry.engine)
         if (engine := self.engines.get(entry.engine)) is None:
             cores = dict(self.settings.kind_cores).get(entry.kind) or max(1, round(entry.weight))
-            share = THREADS_A_CORE * cores / self.settings.fleet_size
-            start = share * self.longest_aim
-            # Several gateways seldom peak together, so one query more than its share for each of them.
-            share += (1 - 1 / self.settings.fleet_size) * self.widest
             engine = self.engines[entry.engine] = Engine(
-                entry=replace(entry, started=0), cores=cores, start=start, bound=start, thread_share=share,
-                last_sign=now, cold_sends=SlidingSum(self.contract.fall))
+                entry=replace(entry, started=0), cores=cores, last_sign=now, cold_sends=SlidingSum(0))
+            self._measure(engine)
         if entry.started > engine.entry.started:
             self._renew(engine, entry.started)
         engine.entry = entry
 
+    def _measure(self, engine: Engine) -> None:
+        share = THREADS_A_CORE * engine.cores / self.settings.fleet_size
+        engine.rescale(share * self.longest_aim)
+        # Several gateways seldom peak together, so one query more than its share for each of them.
+        engine.thread_share = share + (1 - 1 / self.settings.fleet_size) * self.widest
+        engine.cold_sends.span = self.contract.fall
+
     def _renew(self, engine: Engine, started: int) -> None:
         """Another process under the same id: cold, and nothing that was learned of the last one holds."""
         engine.suspect, engine.slowdown, engine.best, engine.failures = False, 1.0, 1.0, 0.0
--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -11,7 +11,7 @@
 import re
 import traceback
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 
 from .config import Config
@@ -28,6 +28,7 @@
     Probed,
     Query,
     Result,
+    Retuned,
     SendOrder,
 )
 from .state.bans import Bans, Word
@@ -130,6 +131,18 @@
     def now(self) -> int:
         return self.clock.now()
 
+    def retune(self, read: Config) -> None:
+        """Other settings, in one step: for all requests that come from now on."""
+        now = self.now()
+        settings = replace(read.settings, tick=self.config.tick)  # the wheel turns by the one of the start
+        self._carry_out(now, self.facade.report(now, Retuned(settings)))
+        self.config = replace(self.config, settings=settings, told=read.told, streams=read.streams,
+                              connect_timeout=read.connect_timeout, conn_idle=read.conn_idle)
+        self.deadlines = {c.name: c.deadline for c in read.settings.classes}
+        self.customers = {t.name for t in read.settings.tenants}
+        self.figures.learn(self.deadlines)
+        self.pools.retune(read.streams, read.connect_timeout, read.conn_idle)
+
     # --- clients ---
 
     def submit(self, client: Client, stream: int, ask: Ask) -> OpenRequest:
--- a/larchhall/config.py
+++ b/larchhall/config.py
@@ -7,9 +7,8 @@
 from __future__ import annotations
 
 import json
-import math
-from collections.abc import Mapping
-from dataclasses import dataclass
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
 from typing import Any
 
 from . import interface as api
@@ -25,13 +24,13 @@
 DEFAULT_STREAMS = 32
 LEAST_SOCKETS = 64
 LEAST_MEMORY = 32
+MOST_NUMBER = 1e18  # NaN, infinity and what no field could hold are no numbers
 MISSING = object()
-# Read at the start alone: the fields of Config, by the key that an operator writes. `bus` is read again.
+# Read at the start alone: the fields of Config, by the key that an operator writes. `bus` and `settings` act
+# at SIGHUP, but for the tick: the wheel turns by it.
 FIXED = {"name": "name", "host": "listen", "port": "listen", "seed": "seed", "sockets": "limits.sockets",
          "memory_mb": "limits.memory_mb", "operator": "operator",
-         "connect_timeout": "settings.policy_limits.connect_timeout", "settings": "settings",
-         "conn_idle": "settings.policy_limits.conn_idle",
-         "streams": "settings.policy_limits.streams_per_conn"}
+         "tick": "settings.tick"}
 # Where the module's checks speak of its own names: the key that the operator wrote.
 THEIR_KEYS = {
     "contract.cold_from": "contract.start_capacity", "contract.order_settle": "contract.key_rest",
@@ -51,7 +50,7 @@
         if default is MISSING:
             raise ConfigError(f"{path}: is missing")
         return default
-    number = isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value)
+    number = isinstance(value, int | float) and not isinstance(value, bool) and abs(value) <= MOST_NUMBER
     fits = {"text": isinstance(value, str), "object": isinstance(value, dict),
             "list": isinstance(value, list), "bool": isinstance(value, bool), "number": number,
             "whole number": number and value == int(value)}[kind]
@@ -167,6 +166,11 @@
     conn_idle: int
     streams: int
     settings: api.Settings
+    told: Mapping[str, Any] = field(default_factory=dict, repr=False)  # the file as it was read
+
+    @property
+    def tick(self) -> int:
+        return self.settings.tick
 
 
 def _address(text: str, key: str) -> tuple[str, int]:
@@ -227,7 +231,7 @@
         accept_fd=int(accept_fd) if accept_fd else None, folder=environ.get("TMPDIR") or "/tmp",
         known_offset=get(known, "known.offset", "whole number", events[-1].offset if events else 0),
         known=events, connect_timeout=connect_timeout, conn_idle=conn_idle, streams=streams,
-        settings=settings)
+        settings=settings, told={key: value for key, value in raw.items() if key != "known"})
 
 
 def waiting_for_restart(running: Config, read: Config) -> list[str]:
@@ -235,6 +239,29 @@
     return sorted({key for name, key in FIXED.items() if getattr(running, name) != getattr(read, name)})
 
 
+def lacking(told: Any, read: Any, path: str = "") -> Iterator[str]:
+    """The keys that are in one file and not in another; of lists of objects, what all of one list have."""
+    if isinstance(told, dict) and isinstance(read, dict):
+        for key, value in told.items():
+            if value is not None and read.get(key) is None:
+                yield path + key
+            else:
+                yield from lacking(value, read.get(key), f"{path}{key}.")
+    elif isinstance(told, list) and isinstance(read, list) and told and isinstance(told[0], dict):
+        common = {key: told[0][key] for key in told[0] if all(isinstance(t, dict) and key in t for t in told)}
+        for entry in read:
+            yield from lacking(common, entry, path)
+
+
+def reload(running: Config, environ: Mapping[str, str]) -> Config:
+    """The file as SIGHUP finds it, in the place of the one in force. Danger: a key that has got lost would
+    fall back to its default, in service and without a word: such a file is turned down whole."""
+    read = load(environ)
+    for key in lacking(running.told, read.told):
+        raise ConfigError(f"{key}: is missing")
+    return read
+
+
 def load(environ: Mapping[str, str]) -> Config:
     """From the file that PROXY_CONFIG names; PROXY_NAME, PROXY_LISTEN and PROXY_OPERATOR stand above what it
     holds."""
--- a/larchhall/facade.py
+++ b/larchhall/facade.py
@@ -16,7 +16,8 @@
 from .state.wheel import Wheel
 
 __all__ = ["Beside", "Closing", "Ended", "EngineBan", "EngineEntry", "EngineNews", "EngineState", "Facade",
-           "Left", "LoadReport", "Orders", "Outstanding", "Probed", "Query", "Result", "SendOrder", "Verdict"]
+           "Left", "LoadReport", "Orders", "Outstanding", "Probed", "Query", "Result", "Retuned",
+           "SendOrder", "Verdict"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,12 +87,19 @@
     taking: int
 
 
+@dataclass(frozen=True, slots=True)
+class Retuned:
+    """Other settings are in force."""
+
+    settings: api.Settings
+
+
 @dataclass(frozen=True, slots=True)
 class Closing:
     """The broker is about to end: what is open must be closed out now."""
 
 
-News = Ended | Probed | Left | EngineNews | EngineBan | Beside | Closing
+News = Ended | Probed | Left | EngineNews | EngineBan | Beside | Retuned | Closing
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,6 +160,8 @@
                 event = api.Ban(engine, out, at)
             case Beside(beside, taking):
                 event = api.Beside(beside, taking)
+            case Retuned(settings):
+                event = api.Retuned(settings)
             case Closing():
                 event = api.Closing()
         return self._handle(now, orders, event)
--- a/larchhall/interface.py
+++ b/larchhall/interface.py
@@ -257,6 +257,13 @@
     taking: int
 
 
+@dataclass(frozen=True, slots=True)
+class Retuned:
+    """Other settings, for all requests that come from now on."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class Closing:
     """The gateway is about to end: every open request gets its final answer now."""
@@ -281,8 +288,8 @@
     payload: bytes
 
 
-Event = (ListNews | Arrival | AttemptOutcome | AttemptNote | Departure | Ban | Beside | Closing | TimerFired
-         | ProbeResult | PeerMessage)
+Event = (ListNews | Arrival | AttemptOutcome | AttemptNote | Departure | Ban | Beside | Retuned | Closing
+         | TimerFired | ProbeResult | PeerMessage)
 
 
 @dataclass(frozen=True, slots=True)
--- a/larchhall/lifecycle/boot.py
+++ b/larchhall/lifecycle/boot.py
@@ -15,7 +15,8 @@
 import uvloop
 
 from ..broker import Broker
-from ..config import Config, ConfigError, load, waiting_for_restart
+from ..config import Config, ConfigError, waiting_for_restart
+from ..config import reload as read_again
 from ..facade import Beside, Outstanding
 from ..state.wheel import Clock
 from ..wire.client import ClientConnection
@@ -176,12 +177,13 @@
             self.feed.move(bus)
 
     def reload(self) -> None:
-        """SIGHUP: the file is read wholly or not at all; of a good one, the bus's address takes effect."""
+        """SIGHUP: the file is read and checked wholly, then taken in one step or not at all."""
         if self.drain.begun_at:
             self.log("reload", "SIGHUP: not during the drain")
             return
         try:
-            read = load(self.environ)
+            read = read_again(self.config, self.environ)
+            self.broker.retune(read)
         except ConfigError as error:
             self._turned_down(str(error))
             return
@@ -190,6 +192,7 @@
             return
         self.broker.figures.reloads_taken += 1
         fixed = waiting_for_restart(self.told, read)
+        self.config = self.broker.config
         self.log("reload", "done" + (f"; with the next start only: {', '.join(fixed)}" if fixed else ""))
         if read.bus is not None:
             self._follow(read.bus)
--- a/larchhall/lifecycle/drain.py
+++ b/larchhall/lifecycle/drain.py
@@ -25,9 +25,13 @@
         self.node = node
         self.begun_at = 0
         self.closed_out = False
-        deadline = max(c.deadline for c in node.config.settings.classes) / 1e9
-        held = node.config.accept_fd is not None
-        self.last = min(deadline, LONGEST_HELD if held else LONGEST) + KILL - MARGIN
+
+    @property
+    def last(self) -> float:
+        """Seconds after SIGTERM at which everything open is closed out."""
+        config = self.node.config
+        deadline = max(c.deadline for c in config.settings.classes) / 1e9
+        return min(deadline, LONGEST if config.accept_fd is None else LONGEST_HELD) + KILL - MARGIN
 
     def begin(self) -> None:
         if self.begun_at:
--- a/larchhall/state/pools.py
+++ b/larchhall/state/pools.py
@@ -172,10 +172,14 @@
                  connect_timeout: int, conn_idle: int,
                  unsent: Callable[[Attempt, Result], None]) -> None:
         self.owner, self.log, self.unsent = owner, log, unsent
-        self.streams, self.connect_timeout, self.most = streams, connect_timeout, 0
+        self.most = 0
+        self.retune(streams, connect_timeout, conn_idle)
+        self.by_number: dict[int, EnginePool] = {}
+
+    def retune(self, streams: int, connect_timeout: int, conn_idle: int) -> None:
+        self.streams, self.connect_timeout = streams, connect_timeout
         # Danger: a send that meets the engine's idle close is lost: we close long before.
         self.idle = conn_idle // 2
-        self.by_number: dict[int, EnginePool] = {}
 
     def limit(self, most: int) -> None:
         """How many connections there may be from now on; idle ones past that end."""
--- a/tests/test_sockets_bus.py
+++ b/tests/test_sockets_bus.py
@@ -90,7 +90,8 @@
     old, new, late = Bus(), Bus(), Bus()
     path = tmp_path / "config.json"
     first = await old.start()
-    raw = {"listen": "127.0.0.1:1", "settings": settings(), "known": {"offset": 1}}
+    raw = {"name": "n0", "listen": "127.0.0.1:1", "seed": "8c1f", "limits": {"sockets": 256},
+           "settings": settings(), "known": {"offset": 1}}
 
     def ask(rig: Rig, text: str) -> None:
         path.write_text(text)
