--- a/larchhall/brain.py
+++ b/larchhall/brain.py
@@ -107,8 +107,7 @@
         self.mean_work += (work - self.mean_work) / min(self.answers, 1 / LEARN)
         if estimate is not None and estimate > 0:
             above = math.log(work / estimate) > self.log_bias
-            step = BIAS_STEP + 1 / (1 + self.answers)
-            self.log_bias += step * (BIAS_QUANTILE if above else BIAS_QUANTILE - 1)
+            self.log_bias += (BIAS_STEP + 1 / (1 + self.answers)) * (BIAS_QUANTILE - (not above))
 
 
 @dataclass(slots=True, kw_only=True)
@@ -147,11 +146,9 @@
         else:
             error = 1.0 - sum(self.delays) / len(self.delays)
             change = 0.0 if self.last_error is None else error - self.last_error
-            self.bound += fuzzy_step(error / SPAN, change / SPAN, REACH * CEILING * self.start)
-            self.bound = max(0.0, min(CEILING * self.start, self.bound))
-            self.last_error = error
-        self.bound_used = False
-        self.delays.clear()
+            bound = self.bound + fuzzy_step(error / SPAN, change / SPAN, REACH * CEILING * self.start)
+            self.bound, self.last_error = max(0.0, min(CEILING * self.start, bound)), error
+        self.bound_used, self.delays = False, []
 
 
 @dataclass(slots=True, kw_only=True)
@@ -573,8 +570,11 @@
             request.view.learn(request.estimate, event.latency)
 
     def _blame(self, engine: Engine, bad: bool) -> None:
-        """Danger: a room or a kind is lost at once: failures and silences of a few foretell the rest."""
         engine.failures += ERROR_LEARN * (bad - engine.failures)
+        self._foretell(engine, bad)
+
+    def _foretell(self, engine: Engine, bad: bool) -> None:
+        """Danger: a room or a kind is lost at once: failures and silences of a few foretell the rest."""
         for group in (engine.entry.zone, engine.entry.kind):
             self.groups[group] += ERROR_LEARN * (bad - self.groups[group])
 
@@ -667,7 +667,7 @@
         if (not engine.suspect and now - max(engine.last_sign, self.stalled) > limit
                 and any(now - a.sent > max(limit, a.size) and a.sent >= engine.born
                         for a in engine.out.values())):
-            self._blame(engine, True)
+            self._foretell(engine, True)
             engine.suspect, engine.next_trial = True, now + TRIAL_GAP
 
     def _list_news(self, now: int, news: api.ListNews) -> None:
