Ending idle engine connections at an upgrade no longer stands still for good

At fault: state/pools.py, limit(): while held > most and close_idle() - abort() tells the loss in a later turn of the loop, so that the first idle connection past the divided limit was closed without end.

--- a/larchhall/state/pools.py
+++ b/larchhall/state/pools.py
@@ -184,8 +184,9 @@
     def limit(self, most: int) -> None:
         """How many connections there may be from now on; idle ones past that end."""
         self.most = most
-        while self._held() > most and self._close_idle():
-            pass
+        # Danger: the loss of a closed connection is told later: a loop that waits for it stands still for good.
+        for connection in self._idle()[:max(0, self._held() - most)]:
+            connection.close()
 
     def get(self, number: int) -> EnginePool | None:
         return self.by_number.get(number)
@@ -202,7 +203,8 @@
         return max(1, int(self.most * OWN_PART) // max(1, live))
 
     def _held(self) -> int:
-        return sum(len(p.connections) + (p.opening is not None) for p in self.by_number.values())
+        return sum(sum(not c.ending for c in p.connections) + (p.opening is not None)
+                   for p in self.by_number.values())
 
     def room(self) -> bool:
         """For one more that is an attempt's own."""
@@ -210,15 +212,15 @@
 
     def make_room(self) -> bool:
         """Danger: descriptors run out and clients can't come in: engines take no more than their part."""
-        return self._held() <= self.most or self._close_idle()  # the one that is opening counts already
+        if self._held() <= self.most:  # the one that is opening counts already
+            return True
+        for connection in (idle := self._idle())[:1]:
+            connection.close()
+        return bool(idle)
 
-    def _close_idle(self) -> bool:
-        for pool in self.by_number.values():
-            for connection in pool.connections:
-                if not connection.open and not connection.probes and not connection.closed:
-                    connection.close()
-                    return True
-        return False
+    def _idle(self) -> list[EngineConnection]:
+        return [connection for pool in self.by_number.values() for connection in pool.connections
+                if not connection.open and not connection.probes and not connection.ending]
 
     def lost(self, connection: EngineConnection) -> None:
         pool = self.by_number.get(connection.engine)
--- a/larchhall/wire/engine.py
+++ b/larchhall/wire/engine.py
@@ -49,6 +49,7 @@
         self.probes: set[bytes] = set()
         self.heard = self.used = self.begun = owner.now()
         self.retired = False  # takes no further sends
+        self.ending = False   # closed by us, its loss not told yet
         self.closed = False
         self.leaving = 0  # attempts handed to the transport that may not have left yet
 
@@ -83,6 +84,7 @@
             self.transport.write(resp.encode(*parts))
 
     def close(self) -> None:
+        self.retired = self.ending = True
         if self.transport is not None:
             self.transport.abort()
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -116,6 +116,25 @@
             assert old.node.broker.most_clients + 60 + 2 * old.node.broker.pools.most < config.sockets - 50
 
 
+@on_uvloop
+async def test_idle_engine_connections_past_the_divided_limit_end(tmp_path: Path) -> None:
+    """Danger: they count until their loss is told; a loop that waits for that stands still for good."""
+    engine = Engine(lambda *_: None)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client, pools = await rig.client(), rig.node.broker.pools
+        for stream in range(1, 13):
+            client.ask(stream=stream, trace=f"{stream:016x}")
+        await until(lambda: len(engine.words(b"do")) == 12)
+        for do in engine.words(b"do"):
+            engine.serve(do, engine.writer_of(do))
+            await client.answer()
+        held = pools._held()
+        assert held > 4
+        pools.limit(3)
+        pools.limit(2)  # those that are ending are not counted on twice
+        await until(lambda: pools._held() == 2)
+
+
 @on_uvloop
 async def test_what_a_killed_process_left_counts_for_nothing(tmp_path: Path) -> None:
     with socket.create_server(("127.0.0.1", 0)) as held:
