--- a/larchhall/state/pools.py
+++ b/larchhall/state/pools.py
@@ -184,7 +184,7 @@
     def limit(self, most: int) -> None:
         """How many connections there may be from now on; idle ones past that end."""
         self.most = most
-        # Danger: the loss of a closed connection is told later: a loop that waits for it stands still for good.
+        # Danger: a closed connection tells its loss later: a loop that waits for it stands still for good.
         for connection in self._idle()[:max(0, self._held() - most)]:
             connection.close()
 
