--- a/larchhall/cli.py
+++ b/larchhall/cli.py
@@ -55,7 +55,7 @@
 def version() -> None:
     """Print the versions of larchhall and of what it runs on."""
     click.echo(f"larchhall {__version__}")
-    for package in ("uvloop", "click"):
+    for package in ("uvloop", "httptools", "click"):
         try:
             click.echo(f"{package} {installed(package)}")
         except PackageNotFoundError:
--- a/larchhall/lifecycle/drain.py
+++ b/larchhall/lifecycle/drain.py
@@ -63,7 +63,8 @@
 
     def _look(self) -> None:
         passed = (self.node.clock.now() - self.begun_at) / S
-        if self.node.idle() or passed > self.last + FLUSH:
+        # Danger: a request of which a part is here would be cut off with the connection.
+        if (self.node.idle() and not self.node.partial) or passed > self.last + FLUSH:
             self.node.stop()
             return
         if passed >= self.last and not self.closed_out:
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -142,6 +142,28 @@
         await within(rig.node.stopped.wait())
 
 
+@on_uvloop
+async def test_a_request_that_comes_in_pieces_is_waited_for_at_the_end_of_the_drain(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("larchhall.lifecycle.drain.LINGER", 0.0)
+    engine = Engine()
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client = await rig.client()
+        frame = frames.frame(frames.REQUEST, 1, frames.write_fields(
+            {"route": "lookup", "trace": "1" * 16, "patience": "4000", "customer": "acme"}) + b"SELECT 1")
+        client.writer.write(frame[:9])
+        await until(lambda: rig.node.partial)
+        drain = Drain(rig.node)
+        drain.loop, drain.begun_at = asyncio.get_running_loop(), rig.node.clock.now()
+        drain._leave()
+        drain._look()
+        assert not rig.node.stopped.is_set()
+        client.writer.write(frame[9:])
+        assert await client.frame() == (frames.NO_MORE, 0, b"")
+        assert (await client.answer())[:2] == (1, frames.SERVED)
+        await within(rig.node.stopped.wait())
+
+
 @on_uvloop
 async def test_after_a_kill_it_starts_from_nothing_at_the_same_address(tmp_path: Path) -> None:
     engine, port = Engine(), free_port()
