--- a/larchhall/lifecycle/boot.py
+++ b/larchhall/lifecycle/boot.py
@@ -202,8 +202,10 @@
         self.log("reload", f"the configuration stays as it was: {why}")
 
     def _news(self, event: Any) -> None:
-        self.listed = True
+        first, self.listed = not self.listed, True
         self.broker.news(event)
+        if first and self.siblings is not None:
+            self.siblings.tell()
 
     def _tick(self, loop: asyncio.AbstractEventLoop) -> None:
         now = self.clock.now()
--- a/larchhall/lifecycle/siblings.py
+++ b/larchhall/lifecycle/siblings.py
@@ -59,7 +59,8 @@
         if self.lock is None:
             return
         broker, now = self.node.broker, self.node.clock.now()
-        said = {"accepting": self.accepting, "clients": len(self.node.clients),
+        # Danger: one that has no engine list yet would take the queue and could serve none of it.
+        said = {"accepting": self.accepting and self.node.listed, "clients": len(self.node.clients),
                 "words": {uid: list(word) for uid, word in broker.bans.words.items()},
                 "out": {str(n): list(o) for n, o in broker.facade.outstanding(now).items()}}
         try:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -20,9 +20,10 @@
 from larchhall.config import Config
 from larchhall.lifecycle.siblings import Siblings, said_by
 from larchhall.wire import frames
+from larchhall.wire.bus import parse_event
 
 from .helpers import MS, Harness, S, entry, make_settings, query_class
-from .sockets import Engine, Rig, make_config, on_uvloop, running, target, until, within
+from .sockets import Engine, Rig, event, make_config, on_uvloop, running, target, until, within
 from .test_lifecycle import ROOT, write_config
 
 
@@ -100,6 +101,19 @@
             assert rig.node.ready() and rig.node.server is not None and rig.node.server.is_serving()
 
 
+@on_uvloop
+async def test_one_without_an_engine_list_is_no_successor(tmp_path: Path) -> None:
+    """Danger: the old one would leave the queue to a process that can serve none of it."""
+    with socket.create_server(("127.0.0.1", 0)) as held:
+        async with beside(make_config(target("s-1", 9)), held, tmp_path) as old:
+            async with beside(make_config(listed=False), held, tmp_path) as new:
+                await meet(old, new)
+                assert not siblings(old).successor()
+                new.node._news(parse_event(event(2, target("s-1", 9))))
+                siblings(old).poll()
+                assert siblings(old).successor()
+
+
 @on_uvloop
 async def test_limits_are_divided_while_two_live_and_given_back(tmp_path: Path) -> None:
     config = make_config(target("s-1", 9), operator=True)
