Clients keep a third of the descriptors however many processes share them

Seen by calculation: with the least limit of 64 and an operator address, two processes left -14 places to clients (broker.divide: two reserves of 37).

--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -122,7 +122,7 @@
         beside = sockets - sockets // 3 - reserved
         most = max(LEAST_ENGINES, min(sockets * 3 // 8, beside))
         every = sockets - most - reserved
-        self.most_clients = max(every // (2 * processes), every - clients)
+        self.most_clients = max(sockets // 3 // processes, every - clients)
         self.pools.limit(max(LEAST_ENGINES, most // processes))
         # Danger: past its memory the process is killed, with all that it had taken. A quarter each of what is
         # left goes to statements of open requests, frames that are half here, and answers nobody reads.
--- a/larchhall/lifecycle/siblings.py
+++ b/larchhall/lifecycle/siblings.py
@@ -77,10 +77,10 @@
         return any(other["accepting"] for other in self.others.values())
 
     def look(self) -> None:
+        self.node.broker.wheel.at(self.node.clock.now() + PERIOD, self.look)
         self.poll()
         if self.others:
             self.tell()
-        self.node.broker.wheel.at(self.node.clock.now() + PERIOD, self.look)
 
     def poll(self) -> None:
         """Read what the others tell, and take it in."""
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -126,8 +126,12 @@
                     assert rig.node.broker.pools.most <= whole[1] // 2 and rig.node.broker.room < whole[2]
             await until(lambda: not siblings(old).others)
             assert (old.node.most_clients, old.node.broker.pools.most, old.node.broker.room) == whole
-            old.node.broker.divide(2, 60)
-            assert old.node.broker.most_clients + 60 + 2 * old.node.broker.pools.most < config.sockets - 50
+            broker = old.node.broker
+            broker.divide(2, 42)
+            assert broker.most_clients + 42 + 2 * broker.pools.most <= config.sockets - 90  # two reserves
+            broker.config = replace(broker.config, sockets=64)
+            broker.divide(3, 60)  # danger: the least limit, divided, must leave a part for clients
+            assert broker.most_clients >= 7 and broker.pools.most >= 4
 
 
 @on_uvloop
