--- a/larchhall/cli.py
+++ b/larchhall/cli.py
@@ -4,6 +4,7 @@
 
 import os
 import sys
+import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -12,6 +13,10 @@
 from . import __version__
 from .config import ConfigError, load
 
+# Danger: a start at full speed takes the core, and what it may use of it, from the process beside it, whose loop
+# then stands still: half way through what has to be loaded it rests for so many seconds.
+BREATH = 0.15
+
 
 @contextmanager
 def _telling() -> Iterator[None]:
@@ -34,10 +39,13 @@
 @main.command()
 def serve() -> None:
     """Serve clients until SIGTERM."""
-    from .lifecycle.boot import serve as run
-
     with _telling():
-        run(load(os.environ))
+        config = load(os.environ)
+        if config.accept_fd is not None:
+            time.sleep(BREATH)
+        from .lifecycle.boot import serve as run
+
+        run(config)
 
 
 @main.command("check-config")
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -17,7 +17,7 @@
 from click.testing import CliRunner
 
 from larchhall import __version__
-from larchhall.cli import main
+from larchhall.cli import BREATH, main
 from larchhall.lifecycle.boot import raise_descriptors
 from larchhall.lifecycle.drain import Drain
 from larchhall.wire import frames
@@ -230,3 +230,15 @@
     assert raise_descriptors(1_024) == 100 and told == [(100, 100)]
     limits = (50, resource.RLIM_INFINITY)
     assert raise_descriptors(40) == 40 and len(told) == 1
+
+
+@pytest.mark.parametrize("held", [True, False])
+def test_a_start_rests_where_another_process_may_be_beside_it(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, held: bool) -> None:
+    """Danger: a start at full speed takes the core from the process beside it, whose loop stands still."""
+    done: list[Any] = []
+    monkeypatch.setattr("larchhall.cli.time.sleep", done.append)
+    monkeypatch.setattr("larchhall.lifecycle.boot.serve", lambda config: done.append(config.accept_fd))
+    env = write_config(tmp_path) | ({"PROXY_ACCEPT_FD": "3"} if held else {"PROXY_ACCEPT_FD": ""})
+    assert CliRunner().invoke(main, ["serve"], env=env).exit_code == 0
+    assert done == ([BREATH, 3] if held else [None])
