--- a/larchhall/cli.py
+++ b/larchhall/cli.py
@@ -13,8 +13,8 @@
 from . import __version__
 from .config import ConfigError, load
 
-# Danger: a start at full speed takes the core, and what it may use of it, from the process beside it, whose loop
-# then stands still: half way through what has to be loaded it rests for so many seconds.
+# Danger: a start at full speed takes the core, and what it may use of it, from the process beside it, whose
+# loop then stands still: half way through what has to be loaded it rests for so many seconds.
 BREATH = 0.15
 
 
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -241,4 +241,5 @@
     monkeypatch.setattr("larchhall.lifecycle.boot.serve", lambda config: done.append(config.accept_fd))
     env = write_config(tmp_path) | ({"PROXY_ACCEPT_FD": "3"} if held else {"PROXY_ACCEPT_FD": ""})
     assert CliRunner().invoke(main, ["serve"], env=env).exit_code == 0
-    assert done == ([BREATH, 3] if held else [None])
+    expected: list[Any] = [BREATH, 3] if held else [None]
+    assert done == expected
