Bans alone leave an engine out of the look at who is suspect; a start told ahead stops no learning

Two places had changed without a ban being told: brain.py, _healthy (draining engines no longer counted) and _renew (a start in the future put off all judging).

--- a/larchhall/brain.py
+++ b/larchhall/brain.py
@@ -449,7 +449,7 @@
         self._watch_silence(now, engine)
         if engine.backlog == 0 and now < engine.full_until:
             return now >= engine.next_trial
-        if not engine.suspect or all(e.suspect for e in self.engines.values() if self._open(e)):
+        if not engine.suspect or all(e.suspect for n, e in self.engines.items() if n not in self.banned):
             return True
         return (now >= engine.next_trial and request.spec.effect is Effect.SAFE
                 and not any(a.trial for a in engine.out.values()))
@@ -688,7 +688,7 @@
                 entry=replace(entry, started=0), cores=cores, last_sign=now, cold_sends=SlidingSum(0))
             self._measure(engine)
         if entry.started > engine.entry.started:
-            self._renew(engine, entry.started)
+            self._renew(now, engine, entry.started)
         engine.entry = entry
 
     def _measure(self, engine: Engine) -> None:
@@ -698,17 +698,17 @@
         engine.thread_share = share + (1 - 1 / self.settings.fleet_size) * self.widest
         engine.cold_sends.span = self.contract.fall
 
-    def _renew(self, engine: Engine, started: int) -> None:
+    def _renew(self, now: int, engine: Engine, started: int) -> None:
         """Another process under the same id: cold, and nothing that was learned of the last one holds."""
         engine.suspect, engine.slowdown, engine.best, engine.failures = False, 1.0, 1.0, 0.0
-        engine.report, engine.full_until, engine.born = None, 0, started
-        engine.last_sign = max(engine.last_sign, started)
+        engine.report, engine.full_until, engine.born = None, 0, min(now, started)
+        engine.last_sign = max(engine.last_sign, engine.born)
         engine.cold_until = max(engine.cold_until, started + self.contract.cold)
 
     def _ban(self, now: int, event: api.Ban) -> None:
         (self.banned.add if event.out else self.banned.discard)(event.engine)
         if not event.out and (engine := self.engines.get(event.engine)) is not None:
-            self._renew(engine, event.at)  # danger: the list tells of its restart late, or not at all
+            self._renew(now, engine, event.at)  # danger: the list tells of its restart late, or not at all
         self._measure_pool()
 
     def _beside(self, now: int, event: api.Beside) -> None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -220,3 +220,22 @@
         return sum(not r.over_share for r in h.controller.requests.values())
 
     assert (within_share(1), within_share(2)) == (8, 4)
+
+
+def test_an_engine_whose_start_is_told_ahead_is_judged_all_the_same() -> None:
+    """Danger: its silences and failures would teach nothing until that time."""
+    h = Harness(make_settings(), entry(1, started=110 * S))
+    h.arrive("r", estimate=MS)
+    h.end("r", api.Result.CONNECT_FAILED)
+    assert h.controller.engines[1].suspect
+
+
+def test_what_was_sent_before_a_call_back_teaches_nothing_of_the_engine_as_it_is_now() -> None:
+    h = Harness(make_settings(), entry(1), entry(2))
+    h.arrive("r", estimate=MS)
+    engine = h.sends("r")[0].engine
+    h.do(api.Ban(engine, True, h.now))
+    h.now += S
+    h.do(api.Ban(engine, False, h.now))
+    h.end("r", api.Result.CONNECT_FAILED)
+    assert not h.controller.engines[engine].suspect and h.controller.avoided() == 0
