Cells for tenants: a decision module, a part of the room and a state of moves for each

Need: every tenant meets every engine through one set of books; one tenant's faulty load costs all. Change: larchhall/cells (pure: map, placement, loans, turns, moves, plan) and larchhall/rooms (one facade a cell behind Hall, parts of descriptors, memory, requests and turns, moves told to other processes); the operators' file in Starlark, evaluated by another process; stand-ins out of the tests; larchhall demo and larchhall cells. Closing may name requests. Off in run: nothing of it is loaded without PROXY_OPERATOR_FILE.

--- /dev/null
+++ b/deploy/operators.star
@@ -0,0 +1,32 @@
+# The operators' file: what the platform's settings do not say. It is Starlark, read at the start where
+# PROXY_OPERATOR_FILE or --operator-file names it, and again at SIGHUP, whole or not at all.
+# Bounds: 5 s of processor time, 512 MB, 200,000 words. No files, no other scripts, no clock.
+
+# Every changed map needs a higher epoch: an older map never takes the place of a newer one.
+epoch(1)
+
+# A cell is a part of the fleet with a decision module of its own and its own part of what all share.
+#   weight   its share of the engines that are placed by hash
+#   share    its part of descriptors, memory, open requests and turns of the loop (0: as weight)
+#   engines, zones, models   what is pinned to it, whatever the hash says
+#   least, most   bounds on its ready engines (most 0: none)
+cell("counters", weight = 2, least = 2)
+cell("finance", weight = 1, least = 1, zones = ["first-floor"])
+
+# Loops and functions are there for large fleets.
+def spare_cells(count):
+    return [cell("spare-%d" % i, weight = 0.5, least = 0) for i in range(count)]
+
+spare_cells(2)
+
+# Whoever is not named below goes here.
+default_cell("counters")
+
+tenant("likoni-crossings", cell = "counters")
+tenant("kilifi-creek-ferries", cell = "finance")
+
+# A large tenant can be spread over several cells, by a digest of a field: "route" or "data_set".
+tenant("lamu-island-boats", cells = ["counters", "finance"], key = "data_set")
+
+# How long a move may stay in each stage, in seconds.
+moves(propose = 10, warm = 30, settle = 1, watch = 2, switched = 10, drain = 60, lost = 0.5)
--- a/larchhall/brain.py
+++ b/larchhall/brain.py
@@ -613,7 +613,7 @@
             self._end(now, request)
 
     def _close(self, now: int, event: api.Closing) -> None:
-        for request in list(self.requests.values()):
+        for request in [r for r in self.requests.values() if event.only is None or r.id in event.only]:
             self._finish(now, request)
 
     def _settle(self, now: int, request: Request) -> None:
--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -91,16 +91,14 @@
         now = clock.now()
         settings = config.settings
         self.wheel = Wheel(settings.tick, now)
-        self.facade = Facade(settings, config.seed, now, self.wheel)
+        self.facade = self._decisions(now)
         self.deadlines = {c.name: c.deadline for c in settings.classes}
         self.customers = {t.name for t in settings.tenants}
         self.engines = EngineTable()
         self.bans = Bans()
         self.figures = Figures(self.deadlines)
         self.concurrent = 0  # requests taken that have no final answer and whose client has not left
-        self.pools = Pools(self, log, streams=config.streams,
-                           connect_timeout=config.connect_timeout, conn_idle=config.conn_idle,
-                           unsent=self._unsent)
+        self.pools = self._connections()
         self.divide(1, 0)
         self.requests: dict[str, OpenRequest] = {}
         self.ids: dict[bytes, list[OpenRequest]] = {}  # the open requests again, by the client's id
@@ -109,6 +107,21 @@
         self.count = 0
         self.held = 0
 
+    # What a broker with rooms of its own for parts of its traffic makes otherwise: `larchhall.rooms`.
+
+    def _decisions(self, now: int) -> Facade:
+        return Facade(self.config.settings, self.config.seed, now, self.wheel)
+
+    def _connections(self) -> Pools:
+        config = self.config
+        return Pools(self, self.log, streams=config.streams, connect_timeout=config.connect_timeout,
+                     conn_idle=config.conn_idle, unsent=self._unsent)
+
+    def _has_room(self, request: OpenRequest) -> bool:
+        """For one more statement. Danger: a flood of large ones ends the process for memory, and all that it
+        had taken."""
+        return self.held + len(request.statement) <= self.room
+
     def divide(self, processes: int, clients: int) -> None:
         """What this process may hold, beside others of this broker that hold so many clients.
 
@@ -177,8 +190,7 @@
         request = OpenRequest(str(self.count), trace, ask.route.encode(), ask.statement, client,
                               stream, now + patience)
         self.concurrent += 1
-        if self.held + len(ask.statement) > self.room:
-            # Danger: a flood of large statements ends the process for memory, and all that it had taken.
+        if not self._has_room(request):
             self.log("client", "no room for another statement: refused")
             self._answering(request, OVERLOAD).refused(stream, HELD_PAUSE_MS)
             return request
--- a/larchhall/cli.py
+++ b/larchhall/cli.py
@@ -5,13 +5,18 @@
 import os
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
+from typing import TYPE_CHECKING
 
 import click
 
 from . import __version__
-from .config import ConfigError, load
+from .config import Config, ConfigError, load
+
+if TYPE_CHECKING:
+    from .lifecycle.boot import Node
 
 # Danger: a start at full speed takes the core, and what it may use of it, from the process beside it, whose
 # loop then stands still: half way through what has to be loaded it rests for so many seconds.
@@ -37,24 +42,82 @@
 
 
 @main.command()
-def serve() -> None:
+@click.option("--operator-file", envvar="PROXY_OPERATOR_FILE", default="", metavar="FILE",
+              help="The operators' own file (Starlark); without it nothing that it sets is there.")
+def serve(operator_file: str) -> None:
     """Serve clients until SIGTERM."""
     with _telling():
         config = load(os.environ)
         if config.accept_fd is not None:
             time.sleep(BREATH)
+        from .lifecycle.boot import Node
         from .lifecycle.boot import serve as run
 
-        run(config)
+        make: Callable[[], Node] = partial(Node, config)
+        if operator_file:
+            make = _with_operator_file(config, operator_file)
+        run(make)
+
+
+def _with_operator_file(config: Config, path: str) -> Callable[[], Node]:
+    """Loaded only here: without the file, what it sets costs nothing."""
+    from .operators.script import OperatorFileError, evaluate
+
+    try:
+        said = evaluate(path)
+    except OperatorFileError as error:
+        raise ConfigError(str(error)) from None
+    if said.map is None:
+        from .lifecycle.boot import Node
+
+        return partial(Node, config)
+    from .rooms.node import CelledNode
+
+    return partial(CelledNode, config, said, path)
 
 
 @main.command("check-config")
-def check_config() -> None:
+@click.option("--operator-file", envvar="PROXY_OPERATOR_FILE", default="", metavar="FILE",
+              help="The operators' own file, to be checked as well.")
+def check_config(operator_file: str) -> None:
     """Read the configuration, say what it holds, and do nothing."""
     with _telling():
         config = load(os.environ)
+        if operator_file:
+            _with_operator_file(config, operator_file)
     click.echo(f"{config.name}: ok, {len(config.settings.classes)} classes, "
-               f"listening on {config.host}:{config.port}")
+               f"listening on {config.host}:{config.port}"
+               + (f", {operator_file} ok" if operator_file else ""))
+
+
+@main.command()
+@click.option("--seconds", default=4.0, show_default=True, type=click.FloatRange(1.0, 60.0),
+              help="How long the load is played.")
+def demo(seconds: float) -> None:
+    """Stand-in engines, a broker with two cells and some load, all on loopback; ends by itself."""
+    from .demo import play
+
+    sys.exit(play(seconds, click.echo))
+
+
+class _Lazy(click.Group):
+    """Danger: loaded with the daemon, these commands would cost each of its starts."""
+
+    def _load(self) -> click.Group:
+        from .cells_cli import cells
+
+        return cells
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return self._load().list_commands(ctx)
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        return self._load().get_command(ctx, name)
+
+
+@main.group(cls=_Lazy)
+def cells() -> None:
+    """Show the cells of a running broker, move tenants between them, plan moves."""
 
 
 @main.command()
--- a/larchhall/facade.py
+++ b/larchhall/facade.py
@@ -96,7 +96,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Closing:
-    """The broker is about to end: what is open must be closed out now."""
+    """What is open must be closed out now, since the broker is about to end; or the named requests alone."""
+
+    only: frozenset[str] | None = None
 
 
 News = Ended | Probed | Left | EngineNews | EngineBan | Beside | Retuned | Closing
@@ -162,8 +164,8 @@
                 event = api.Beside(beside, taking)
             case Retuned(settings):
                 event = api.Retuned(settings)
-            case Closing():
-                event = api.Closing()
+            case Closing(only):
+                event = api.Closing(only)
         return self._handle(now, orders, event)
 
     def tick(self, now: int) -> Orders:
--- a/larchhall/interface.py
+++ b/larchhall/interface.py
@@ -266,7 +266,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Closing:
-    """The gateway is about to end: every open request gets its final answer now."""
+    """What is open gets its final answer now: all of it, or the requests that are named."""
+
+    only: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/larchhall/lifecycle/boot.py
+++ b/larchhall/lifecycle/boot.py
@@ -8,7 +8,7 @@
 import resource
 import signal
 import socket
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import replace
 from typing import Any
 
@@ -75,7 +75,7 @@
         self.config = config = replace(config, sockets=raise_descriptors(config.sockets))
         self.log = Log(config.name)
         self.clock = Clock()
-        self.broker = Broker(config, self.clock, self.log)
+        self.broker = self._broker()
         # Danger: a flood of clients takes every descriptor, and none is left to reach an engine.
         self.most_clients = self.broker.most_clients
         self.clients: set[ClientConnection] = set()
@@ -91,6 +91,21 @@
         self.stopped = asyncio.Event()
         self.ticked = self.swept = self.clock.now()
 
+    # What a node with rooms of its own makes otherwise, and tells the other processes: `larchhall.rooms`.
+
+    def _broker(self) -> Broker:
+        return Broker(self.config, self.clock, self.log)
+
+    def _client(self) -> ClientConnection:
+        return ClientConnection(self)
+
+    def _take(self, read: Config) -> None:
+        """Other settings: what can be turned down is turned down before anything is changed."""
+        self.broker.retune(read)
+
+    def tells(self) -> dict[str, Any]:
+        return {}
+
     # --- the front ---
 
     def ready(self) -> bool:
@@ -153,7 +168,7 @@
             self._follow(self.config.bus)
         if self.config.operator is not None:
             await self.operations.listen(bound("operator", *self.config.operator))
-        self.server = await loop.create_server(lambda: ClientConnection(self), sock=self._listen(),
+        self.server = await loop.create_server(self._client, sock=self._listen(),
                                                backlog=BACKLOG)
         # What lives as long as the process is no work for the collector: it would stop the loop for it.
         gc.collect()
@@ -183,7 +198,7 @@
             return
         try:
             read = read_again(self.config, self.environ)
-            self.broker.retune(read)
+            self._take(read)
         except ConfigError as error:
             self._turned_down(str(error))
             return
@@ -243,9 +258,9 @@
         self.stopped.set()
 
 
-def serve(config: Config) -> None:
+def serve(make: Callable[[], Node]) -> None:
     """Until SIGTERM; ConfigError where the address cannot be listened on."""
     async def main() -> None:
-        await Node(config).run()
+        await make().run()
 
     uvloop.run(main())
--- a/larchhall/lifecycle/operations.py
+++ b/larchhall/lifecycle/operations.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from ..broker import MOST_CALLERS
@@ -19,6 +20,7 @@
         self.wheel = node.broker.wheel
         self.callers: dict[OperatorConnection, None] = {}  # in the order in which they came
         self.server: asyncio.Server | None = None
+        self.calls: Callable[[str, str], tuple[int, bytes, str, str] | None] | None = None  # of other rooms
 
     async def listen(self, listener: socket.socket) -> None:
         self.server = await asyncio.get_running_loop().create_server(
@@ -48,6 +50,9 @@
         self.log("operator", f"{'out' if out else 'back'}: {uid[:80]!r} {'done' if done else 'is not known'}")
         return done
 
+    def other(self, method: str, path: str) -> tuple[int, bytes, str, str] | None:
+        return None if self.calls is None else self.calls(method, path)
+
     def came(self, caller: OperatorConnection) -> None:
         """Danger: a flood of callers takes the descriptors that are kept for calls: the newcomer takes the
         place of one that has its answer, else of the one that has been silent longest."""
--- a/larchhall/lifecycle/siblings.py
+++ b/larchhall/lifecycle/siblings.py
@@ -62,7 +62,8 @@
         # Danger: one that has no engine list yet would take the queue and could serve none of it.
         said = {"accepting": self.accepting and self.node.listed, "clients": len(self.node.clients),
                 "words": {uid: list(word) for uid, word in broker.bans.words.items()},
-                "out": {str(n): list(o) for n, o in broker.facade.outstanding(now).items()}}
+                "out": {str(n): list(o) for n, o in broker.facade.outstanding(now).items()},
+                **self.node.tells()}
         try:
             early = self.folder / f".{self.mine}"
             early.write_text(json.dumps(said))
@@ -138,4 +139,5 @@
     """A process's file, checked; of an empty one, a process that has said nothing yet."""
     return {"accepting": bool(raw.get("accepting", False)), "clients": int(raw.get("clients", 0)),
             "words": {str(uid): Word(int(at), bool(out)) for uid, (at, out) in raw.get("words", {}).items()},
-            "out": {int(n): Outstanding(*map(int, out)) for n, out in raw.get("out", {}).items()}}
+            "out": {int(n): Outstanding(*map(int, out)) for n, out in raw.get("out", {}).items()},
+            "cells": raw.get("cells")}
--- /dev/null
+++ b/larchhall/operators/words.py
@@ -0,0 +1,180 @@
+"""The words of the operators' file, and what they make. Free of input and output; knows no Starlark.
+
+Each subsystem adds its words to `WORDS`: a function that takes the arguments as they come, checks them, and
+puts what they say into the `Draft`. A fault is a `BadWord` of the form ``key: problem``; the evaluator adds
+the file and the line. What can only be checked at the end (`Draft.finish`) names the call that it is about.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, fields
+from typing import Any
+
+from ..cells.model import KEY_FIELDS, BadMap, Cell, CellMap, Tenant, Timing
+
+MOST_CALLS = 200_000
+MS = 1_000_000
+
+
+class BadWord(ValueError):
+    """``key: problem``; ``call`` is the number of the word that it is about, if not the present one."""
+
+    def __init__(self, text: str, call: int | None = None) -> None:
+        super().__init__(text)
+        self.call = call
+
+
+@dataclass(slots=True)
+class Draft:
+    """What the file has said so far. ``calls`` counts its words."""
+
+    calls: int = 0
+    epoch: int = 0
+    default: str = ""
+    timing: Timing = Timing()
+    cells: dict[str, Cell] = field(default_factory=dict)
+    tenants: dict[str, Tenant] = field(default_factory=dict)
+    said_at: dict[tuple[str, str], int] = field(default_factory=dict)  # the call of a word on a name
+    once: set[str] = field(default_factory=set)
+
+    def finish(self) -> CellMap | None:
+        """The cell map, if the file names cells; BadWord where its words do not fit together."""
+        if not self.cells:
+            if self.tenants:
+                name = next(iter(self.tenants))
+                raise BadWord("tenant.cell: the file names no cell", self.said_at["tenant", name])
+            return None
+        for tenant in self.tenants.values():
+            for cell in tenant.cells:
+                if cell not in self.cells:
+                    raise BadWord(f"tenant.cell: {cell!r} of {tenant.name!r} is no cell",
+                                  self.said_at["tenant", tenant.name])
+        default = self.default or (next(iter(self.cells)) if len(self.cells) == 1 else "")
+        if not default:
+            raise BadWord("default_cell: is missing", self.calls)
+        if default not in self.cells:
+            raise BadWord(f"default_cell: {default!r} is no cell", self.said_at["default_cell", ""])
+        taken: dict[tuple[str, str], str] = {}
+        for cell_ in self.cells.values():
+            for key in ("engines", "zones", "models"):
+                for value in getattr(cell_, key):
+                    if (other := taken.setdefault((key, value), cell_.name)) != cell_.name:
+                        raise BadWord(f"cell.{key}: {value!r} is in {other!r} already",
+                                      self.said_at["cell", cell_.name])
+        try:
+            return CellMap(self.epoch, tuple(self.cells.values()), default, self.tenants, self.timing)
+        except BadMap as error:
+            raise BadWord(str(error), self.calls) from None
+
+
+# --- what arguments may be ---
+
+
+def _text(value: Any, key: str) -> str:
+    if not isinstance(value, str) or not value or len(value) > 256 or not value.isprintable():
+        raise BadWord(f"{key}: {value!r:.60} is no text of 1 to 256 printable characters")
+    return value
+
+
+def _number(value: Any, key: str, least: float = 0.0, above: bool = False) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not -1e15 < value < 1e15:
+        raise BadWord(f"{key}: {value!r:.60} is no number")
+    if value < least or (above and value <= least):
+        raise BadWord(f"{key}: must be {'above' if above else 'at least'} {least:g}")
+    return float(value)
+
+
+def _whole(value: Any, key: str, least: int = 0) -> int:
+    if value != int(_number(value, key, least)):
+        raise BadWord(f"{key}: {value!r} is no whole number")
+    return int(value)
+
+
+def _texts(value: Any, key: str) -> tuple[str, ...]:
+    if not isinstance(value, list | tuple):
+        raise BadWord(f"{key}: {value!r:.60} is no list")
+    return tuple(_text(v, key) for v in value)
+
+
+def _choice(value: Any, key: str, among: tuple[str, ...]) -> Any:
+    if value not in among:
+        raise BadWord(f"{key}: {value!r:.60} is none of {', '.join(repr(a) for a in among if a)}")
+    return value
+
+
+def _new(draft: Draft, word: str, name: str, known: Mapping[str, Any]) -> None:
+    if name in known:
+        raise BadWord(f"{word}.name: {name!r} is used twice")
+    draft.said_at[word, name] = draft.calls
+
+
+def _single(draft: Draft, word: str) -> None:
+    if word in draft.once:
+        raise BadWord(f"{word}: is said twice")
+    draft.once.add(word)
+    draft.said_at[word, ""] = draft.calls
+
+
+# --- the words ---
+
+
+def epoch(draft: Draft, number: Any) -> None:
+    """Every changed map needs a higher one."""
+    _single(draft, "epoch")
+    draft.epoch = _whole(number, "epoch")
+
+
+def cell(draft: Draft, name: Any, weight: Any = 1.0, engines: Any = (), zones: Any = (), models: Any = (),
+         least: Any = 1, most: Any = 0, share: Any = 0.0) -> str:
+    """A part of the fleet; gives its name back."""
+    name = _text(name, "cell.name")
+    if "/" in name or len(name) > 64:
+        raise BadWord(f"cell.name: {name!r:.70} must have 64 characters at the most, and no /")
+    _new(draft, "cell", name, draft.cells)
+    least, most = _whole(least, "cell.least"), _whole(most, "cell.most")
+    if most and most < least:
+        raise BadWord(f"cell.most: must be 0 or at least {least}")
+    draft.cells[name] = Cell(
+        name, _number(weight, "cell.weight", above=True), _texts(engines, "cell.engines"),
+        _texts(zones, "cell.zones"), _texts(models, "cell.models"), least, most, _number(share, "cell.share"))
+    return str(name)
+
+
+def tenant(draft: Draft, name: Any, cell: Any = None, cells: Any = None, key: Any = "") -> str:
+    """A tenant's home: one cell, or several among which it is spread by a field."""
+    name = _text(name, "tenant.name")
+    if "#" in name:
+        raise BadWord("tenant.name: may hold no #")
+    _new(draft, "tenant", name, draft.tenants)
+    if (cell is None) == (cells is None):
+        raise BadWord("tenant.cell: name one cell, or several as cells")
+    homes = (_text(cell, "tenant.cell"),) if cells is None else _texts(cells, "tenant.cells")
+    key = _choice(key, "tenant.key", KEY_FIELDS)
+    if not homes or len(set(homes)) < len(homes):
+        raise BadWord("tenant.cells: must name each cell once")
+    if len(homes) > 1 and not key:
+        raise BadWord("tenant.key: is missing, since the tenant is in several cells")
+    draft.tenants[name] = Tenant(name, homes, key)
+    return str(name)
+
+
+def default_cell(draft: Draft, name: Any) -> None:
+    """Where tenants go that nobody names."""
+    _single(draft, "default_cell")
+    draft.default = _text(name, "default_cell")
+
+
+def moves(draft: Draft, **seconds: Any) -> None:
+    """How long a move may stay in each stage, in seconds."""
+    _single(draft, "moves")
+    known = {f.name for f in fields(Timing)}
+    for key in seconds:
+        if key not in known:
+            raise BadWord(f"moves.{key}: is none of {', '.join(sorted(known))}")
+    draft.timing = Timing(**{key: int(_number(value, f"moves.{key}") * 1000) * MS
+                             for key, value in seconds.items()})
+
+
+WORDS: dict[str, Callable[..., Any]] = {
+    "epoch": epoch, "cell": cell, "tenant": tenant, "default_cell": default_cell, "moves": moves}
--- /dev/null
+++ b/larchhall/rooms/hall.py
@@ -0,0 +1,326 @@
+"""One face for many decision modules: a facade a cell, behind the words of `larchhall.facade`.
+
+A request belongs to one room from its arrival to its end. An engine belongs to one room at a time; where it
+changes rooms while attempts are out on it, the old room gets their outcomes, and what it still has out there
+counts in the new room as another process's work does.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+
+from ..cells.model import CellMap
+from ..cells.moves import Fleet
+from ..cells.placement import Change, Placement, Seen
+from ..facade import (
+    Beside,
+    Closing,
+    Ended,
+    EngineBan,
+    EngineEntry,
+    EngineNews,
+    EngineState,
+    Facade,
+    Left,
+    Orders,
+    Outstanding,
+    Probed,
+    Query,
+    Retuned,
+)
+from ..interface import Settings
+from ..state.wheel import Wheel
+
+News = Ended | Probed | Left | EngineNews | EngineBan | Beside | Retuned | Closing
+NOTHING = Outstanding(0, 0, 0)
+
+
+class RoomFacade(Facade):
+    """One cell's decisions. Timers of all rooms fall due in one line, in the wheel's order."""
+
+    def __init__(self, hall: Hall, cell: str, seed: int, now: int) -> None:
+        self.hall, self.cell = hall, cell
+        self.engines: set[int] = set()
+        self.open = 0
+        self.dissolved = False
+        super().__init__(hall.settings, seed, now, hall.wheel)
+
+    def _fired(self, token: int) -> Callable[[], None]:
+        return lambda: self._due(token)
+
+    def _due(self, token: int) -> None:
+        if not self.dissolved:
+            self.due.append(token)
+            self.hall.due.append(self)
+
+
+class Hall:
+    """``uid_of``: the uid of a number of the engine table. ``home``: the cell of a subject at this time."""
+
+    def __init__(self, settings: Settings, seed: int, now: int, wheel: Wheel, map: CellMap,
+                 uid_of: Callable[[int], str]) -> None:
+        self.settings, self.seed, self.wheel, self.map, self.uid_of = settings, seed, wheel, map, uid_of
+        self.due: deque[RoomFacade] = deque()
+        self.rooms: dict[str, RoomFacade] = {}
+        self.where: dict[str, tuple[RoomFacade, str]] = {}  # of each open request: its room and its subject
+        self.open: Counter[tuple[str, str]] = Counter()     # open requests by subject and cell
+        self.placement = Placement(map)
+        self.entries: dict[int, EngineEntry] = {}
+        self.numbers: dict[str, int] = {}
+        self.bans: dict[int, EngineBan] = {}
+        self.beside = Beside({}, 1)
+        self.carried: dict[int, tuple[Outstanding, int]] = {}  # sent to cold engines by their former room
+        self.left_over: set[int] = set()  # engines on which a former room has something out
+        self.cold_until: dict[int, int] = {}
+        self.next: tuple[str, str] | None = None  # subject and cell of the request that is being taken
+        for cell in map.cells:
+            self._furnish(cell.name, now)
+
+    def _furnish(self, cell: str, now: int) -> RoomFacade:
+        seed = int.from_bytes(f"{self.seed:x}/{cell}".encode(), "big")
+        room = self.rooms[cell] = RoomFacade(self, cell, seed, now)
+        for ban in self.bans.values():
+            room.report(now, ban)
+        room.report(now, Beside({}, self.beside.taking))
+        return room
+
+    # --- requests ---
+
+    def pick(self, now: int, query: Query) -> Orders:
+        """Danger: the cell was chosen when the request was given its part of the room; to choose again here
+        could give it another one."""
+        assert self.next is not None, "a request without a cell"
+        (subject, cell), self.next = self.next, None
+        room = self.rooms[cell]
+        self.where[query.id] = room, subject
+        room.open += 1
+        self.open[subject, cell] += 1
+        return room.pick(now, query)
+
+    def forget(self, request: str) -> None:
+        if (place := self.where.pop(request, None)) is None:
+            return
+        room, subject = place
+        room.forget(request)
+        room.open -= 1
+        self.open[subject, room.cell] -= 1
+        if not self.open[subject, room.cell]:
+            del self.open[subject, room.cell]
+        self._dissolve(room)
+
+    def _dissolve(self, room: RoomFacade) -> None:
+        """A cell that the map has dropped ends with its last request."""
+        if not room.open and self.map.cell(room.cell) is None and self.rooms.get(room.cell) is room:
+            room.dissolved = True
+            del self.rooms[room.cell]
+
+    def requests_of(self, subject: str, cell: str) -> frozenset[str]:
+        return frozenset(id for id, (room, whose) in self.where.items()
+                         if room.cell == cell and whose == subject)
+
+    def tick(self, now: int) -> Orders:
+        return self.due.popleft().tick(now)
+
+    # --- what happens ---
+
+    def report(self, now: int, news: News) -> Orders:
+        match news:
+            case Ended() | Left():
+                if (place := self.where.get(news.request)) is None:
+                    return Orders()
+                orders = place[0].report(now, news)
+                if isinstance(news, Ended) and news.engine in self.left_over:
+                    self._tell_beside(now, orders)
+                return orders
+            case Probed(engine):
+                room = self._room_of(engine)
+                return room.report(now, news) if room is not None else Orders()
+            case EngineNews(full, entries):
+                return self._engine_news(now, full, entries)
+            case EngineBan(engine, out, at):
+                if out:
+                    self.bans[engine] = news
+                else:  # a room that gets it later must know that it is cold
+                    self.bans.pop(engine, None)
+                    self.cold_until[engine] = at
+                return self._all(now, news)
+            case Beside():
+                self.beside = news
+                orders = Orders()
+                self._tell_beside(now, orders)
+                return orders
+            case Retuned(settings):
+                self.settings = settings
+                return self._all(now, news)
+            case Closing(only):
+                if only is None:
+                    return self._all(now, news)
+                rooms = {self.where[id][0].cell for id in only if id in self.where}
+                return self._all(now, news, sorted(rooms))
+
+    def _all(self, now: int, news: News, cells: Iterable[str] | None = None) -> Orders:
+        orders = Orders()
+        for cell in list(self.rooms) if cells is None else cells:
+            _add(orders, self.rooms[cell].report(now, news))
+        return orders
+
+    # --- engines ---
+
+    def _room_of(self, engine: int) -> RoomFacade | None:
+        return next((room for room in self.rooms.values() if engine in room.engines), None)
+
+    def cell_of(self, engine: int) -> str | None:
+        """The cell of an engine; of one that has gone, the last that had something out there."""
+        if (entry := self.entries.get(engine)) is not None:
+            return self.placement.of(self.uid_of(entry.engine))
+        return next((r.cell for r in self.rooms.values() if engine in r.controller.engines), None)
+
+    def _engine_news(self, now: int, full: bool, entries: tuple[EngineEntry, ...]) -> Orders:
+        """Seats first, then each room hears of its own engines alone."""
+        told = {e.engine for e in entries}
+        gone = [e.engine for e in entries if e.state is EngineState.GONE]
+        if full:
+            gone += [number for number in self.entries if number not in told]
+        uids = {number: uid for uid, number in self.numbers.items()}
+        present = [e for e in entries if e.state is not EngineState.GONE]
+        for entry in present:
+            self.numbers[self.uid_of(entry.engine)] = entry.engine
+            self.entries[entry.engine] = entry
+        changes = self.placement.learn(
+            [Seen(self.uid_of(e.engine), e.zone, e.kind, e.state is EngineState.READY) for e in present],
+            [uids[number] for number in gone if number in uids])
+        orders = Orders()
+        left = [e for e in entries if e.state is EngineState.GONE]
+        left += [replace(self.entries[n], state=EngineState.GONE) for n in gone
+                 if n not in told and n in self.entries]
+        for entry in left:
+            self.entries.pop(entry.engine, None)
+            self.cold_until.pop(entry.engine, None)
+            if (uid := uids.get(entry.engine)) is not None:
+                del self.numbers[uid]
+            if (room := self._room_of(entry.engine)) is not None:
+                room.engines.discard(entry.engine)
+                _add(orders, room.report(now, EngineNews(False, (entry,))))
+        self._reseat(now, changes, orders)
+        moved = {self.numbers[c.uid] for c in changes if c.uid in self.numbers}
+        for room in list(self.rooms.values()):
+            mine = tuple(e for e in present if e.engine in room.engines and e.engine not in moved)
+            if mine:
+                _add(orders, room.report(now, EngineNews(False, mine)))
+        self._tell_beside(now, orders)
+        return orders
+
+    def _reseat(self, now: int, changes: Iterable[Change], orders: Orders) -> None:
+        """Danger: an engine in two rooms gets two bounds' worth of work: it leaves the one first. What the
+        one sent it while it was cold counts in the other, or it would be pushed over."""
+        for change in changes:
+            if (number := self.numbers.get(change.uid)) is None:
+                continue
+            entry = self.entries[number]
+            before = self.rooms.get(change.before or "")
+            if before is not None and number in before.engines:
+                out = before.outstanding(now).get(number, NOTHING)
+                before.engines.discard(number)
+                _add(orders, before.report(now, EngineNews(False, (replace(entry, state=EngineState.GONE),))))
+                self.left_over.add(number)
+                if out.cold:
+                    earlier = self.carried.get(number, (NOTHING, 0))[0].cold
+                    self.carried[number] = (Outstanding(0, 0, earlier + out.cold),
+                                            now + self.settings.contract.fall)
+            after = self.rooms.get(change.after or "")
+            if after is not None:
+                after.engines.add(number)
+                started = max(entry.started, self.cold_until.get(number, 0))
+                _add(orders, after.report(now, EngineNews(False, (replace(entry, started=started),))))
+
+    def _tell_beside(self, now: int, orders: Orders) -> None:
+        """Every room hears what others have out on its engines: other processes, and former rooms."""
+        theirs: dict[int, Outstanding] = {}
+        for number in list(self.left_over):
+            owner = self._room_of(number)
+            total = NOTHING
+            for room in self.rooms.values():
+                if room is not owner and number in room.controller.engines:
+                    total = _sum(total, room.outstanding(now).get(number, NOTHING))
+            carried, until = self.carried.get(number, (NOTHING, 0))
+            if now < until:
+                # What the former room still has on its books of cold sends is the same work.
+                total = Outstanding(total.threads, total.backlog, max(total.cold, carried.cold))
+            else:
+                self.carried.pop(number, None)
+            if total == NOTHING:
+                self.left_over.discard(number)
+            else:
+                theirs[number] = total
+        for room in self.rooms.values():
+            out = {n: o for n, o in self.beside.out.items() if n in room.engines}
+            for number in theirs.keys() & room.engines:
+                out[number] = _sum(out.get(number, NOTHING), theirs[number])
+            _add(orders, room.report(now, Beside(out, self.beside.taking)))
+
+    def fade(self, now: int) -> Orders:
+        """What former rooms have out and sent fades; to be called now and then."""
+        orders = Orders()
+        if self.left_over:
+            self._tell_beside(now, orders)
+        return orders
+
+    # --- maps ---
+
+    def take(self, map: CellMap, now: int) -> Orders:
+        """Another map: rooms for new cells, engines to their new seats; dropped cells end their requests."""
+        self.map = map
+        for cell in map.cells:
+            if cell.name not in self.rooms:
+                self._furnish(cell.name, now)
+        orders = Orders()
+        self._reseat(now, self.placement.take(map), orders)
+        self._tell_beside(now, orders)
+        for room in list(self.rooms.values()):
+            self._dissolve(room)
+        return orders
+
+    def adopt(self, seats: dict[str, str | None], now: int) -> Orders:
+        """The seats of another process of this broker."""
+        orders = Orders()
+        if changes := self.placement.adopt(seats):
+            self._reseat(now, changes, orders)
+            self._tell_beside(now, orders)
+        return orders
+
+    # --- what is asked ---
+
+    def fleet(self, cell: str, now: int) -> Fleet:
+        """Engines of the cell that take new work, and those of them that are cold."""
+        room = self.rooms.get(cell)
+        if room is None:
+            return Fleet(0, 0)
+        ready = [n for n in room.engines if self.entries[n].state is EngineState.READY
+                 and n not in self.bans]
+        cold = self.settings.contract.cold
+        return Fleet(len(ready), sum(
+            now < max(self.entries[n].started, self.cold_until.get(n, 0)) + cold for n in ready))
+
+    def avoided(self) -> int:
+        return sum(room.avoided() for room in self.rooms.values())
+
+    def outstanding(self, now: int) -> dict[int, Outstanding]:
+        out: dict[int, Outstanding] = {}
+        for room in self.rooms.values():
+            for number, theirs in room.outstanding(now).items():
+                out[number] = _sum(out.get(number, NOTHING), theirs)
+        return out
+
+
+def _sum(a: Outstanding, b: Outstanding) -> Outstanding:
+    return Outstanding(a.threads + b.threads, a.backlog + b.backlog, a.cold + b.cold)
+
+
+def _add(orders: Orders, more: Orders) -> None:
+    orders.terms += more.terms
+    orders.sends += more.sends
+    orders.verdicts += more.verdicts
+    orders.cancels += more.cancels
+    orders.probes += more.probes
--- /dev/null
+++ b/larchhall/standins/bus.py
@@ -0,0 +1,93 @@
+"""The event bus on loopback: one whose every line is scripted, and one that keeps a list of engines."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from typing import Any
+
+
+def target(uid: str, port: int, state: str = "in_service", **more: Any) -> dict[str, Any]:
+    """An engine as the bus tells of it."""
+    return {"uid": uid, "endpoint": f"127.0.0.1:{port}", "az": "east", "model": "std", "pod_group": 2,
+            "state": state, "capacity_hint": 8, "boot_ms": 0, **more}
+
+
+def event(offset: int, *targets: dict[str, Any], full: bool = False) -> dict[str, Any]:
+    return {"offset": offset, "topology": {"rev": offset, "all": full, "targets": list(targets)}}
+
+
+class ScriptedBus:
+    def __init__(self) -> None:
+        self.asked: list[bytes] = []
+        self.writer: asyncio.StreamWriter | None = None
+
+    async def start(self) -> int:
+        self.server = await asyncio.start_server(self._client, "127.0.0.1", 0)
+        return int(self.server.sockets[0].getsockname()[1])
+
+    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writer = writer
+        self.asked.append(await reader.readline())
+
+    def tell(self, line: object) -> None:
+        assert self.writer is not None
+        self.writer.write((line if isinstance(line, str) else json.dumps(line)).encode() + b"\n")
+
+
+class ListBus:
+    """Numbers events, tells each caller what comes after the one it names, and beats once a second.
+    ``told``: when each state of each engine was told."""
+
+    def __init__(self) -> None:
+        self.events: list[dict[str, Any]] = []
+        self.targets: dict[str, dict[str, Any]] = {}
+        self.told: list[tuple[int, str, str]] = []
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.beat: asyncio.Task[None] | None = None
+
+    async def start(self) -> int:
+        self.server = await asyncio.start_server(self._client, "127.0.0.1", 0)
+        self.beat = asyncio.create_task(self._beat())
+        return int(self.server.sockets[0].getsockname()[1])
+
+    def stop(self) -> None:
+        self.server.close()
+        if self.beat is not None:
+            self.beat.cancel()
+        for writer in self.writers:
+            writer.close()
+
+    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        line = await reader.readline()
+        last = int(line.split()[1]) if line.startswith(b"from ") else 0
+        for said in self.events[last:]:
+            writer.write(json.dumps(said).encode() + b"\n")
+        self.writers.add(writer)
+        await reader.read()
+        self.writers.discard(writer)
+        writer.close()
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(1.0)
+            for writer in self.writers:
+                writer.write(b"%d\n" % len(self.events))
+
+    def tell(self, *targets: dict[str, Any]) -> None:
+        now = time.time_ns()
+        for changed in targets:
+            self.told.append((now, changed["uid"], changed["state"]))
+            if changed["state"] == "terminated":
+                self.targets.pop(changed["uid"], None)
+            else:
+                self.targets[changed["uid"]] = changed
+        said = event(len(self.events) + 1, *targets, full=not self.events)
+        self.events.append(said)
+        for writer in self.writers:
+            writer.write(json.dumps(said).encode() + b"\n")
+
+    def known(self) -> dict[str, Any]:
+        """What a broker is told at its start."""
+        return {"offset": len(self.events), "batch": list(self.events)}
--- /dev/null
+++ b/larchhall/standins/engine.py
@@ -0,0 +1,184 @@
+"""Data engines on loopback: one whose every answer is scripted, and one with a machine behind it."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from ..wire import resp
+from .machine import Machine, Run
+
+MS = 1_000_000
+WORK = re.compile(rb"work=(\d+)")       # milliseconds, in the statement: `/* work=120 threads=2 rows=3 */`
+THREADS = re.compile(rb"threads=(\d+)")
+ROWS = re.compile(rb"rows=(\d+)")
+PAGE = 6_000                            # bytes of a page at the most
+Script = Callable[["ScriptedEngine", list[bytes], asyncio.StreamWriter], Any]
+
+
+class ScriptedEngine:
+    """A data engine whose every answer a test writes: `script` is called with each command's parts."""
+
+    def __init__(self, script: Script | None = None) -> None:
+        self.script = script or (lambda engine, parts, writer: engine.serve(parts, writer))
+        self.seen: list[list[bytes]] = []
+        self.writers: list[asyncio.StreamWriter] = []  # of all connections
+        self.carried: list[asyncio.StreamWriter] = []  # of the connection of each command seen
+
+    async def start(self) -> int:
+        self.server = await asyncio.start_server(self._client, "127.0.0.1", 0)
+        return int(self.server.sockets[0].getsockname()[1])
+
+    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        parser = resp.RespParser()
+        self.writers.append(writer)
+        try:
+            while data := await reader.read(65_536):
+                for parts in parser.feed(data):
+                    self.seen.append(parts)
+                    self.carried.append(writer)
+                    self.script(self, parts, writer)
+        except ConnectionError:
+            pass
+
+    def serve(self, parts: list[bytes], writer: asyncio.StreamWriter) -> None:
+        if parts[0] == b"do":
+            writer.write(resp.encode(parts[1], b"served", b"chunks=1,spent=5,wanted=3", b"a\tb\tc\n"))
+
+    def writer_of(self, parts: list[bytes]) -> asyncio.StreamWriter:
+        return next(w for seen, w in zip(self.seen, self.carried, strict=True) if seen is parts)
+
+    def words(self, word: bytes) -> list[list[bytes]]:
+        return [parts for parts in self.seen if parts[0] == word]
+
+
+class EngineProtocol(asyncio.Protocol):
+    def __init__(self, engine: MachineEngine) -> None:
+        self.engine, self.parser = engine, resp.RespParser()
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        self.engine.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.engine.connections.discard(self)
+
+    def data_received(self, data: bytes) -> None:
+        for parts in self.parser.feed(data):
+            self.engine.command(self, parts)
+
+    def write(self, *parts: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(resp.encode(*parts))
+
+
+class MachineEngine:
+    """A data engine with a machine behind it. ``sent``: when each query arrived, for the rule on drains."""
+
+    def __init__(self, uid: str, machine: Machine | None = None, honours_cancel: bool = False) -> None:
+        self.uid, self.machine, self.honours_cancel = uid, machine or Machine(), honours_cancel
+        self.connections: set[EngineProtocol] = set()
+        self.askers: dict[bytes, EngineProtocol] = {}
+        self.pages: dict[bytes, list[bytes]] = {}
+        self.sent: list[tuple[int, bytes, bytes]] = []  # when, id, statement
+        self.timer: asyncio.TimerHandle | None = None
+        self.server: asyncio.Server | None = None
+        self.silent = False  # cut off: says nothing, hears nothing
+        self.port = 0
+
+    async def start(self) -> int:
+        self.server = await asyncio.get_running_loop().create_server(
+            lambda: EngineProtocol(self), "127.0.0.1", 0)
+        self.port = int(self.server.sockets[0].getsockname()[1])
+        return self.port
+
+    def stop(self) -> None:
+        """The process dies: its connections are reset, its pages are lost."""
+        if self.server is not None:
+            self.server.close()
+        if self.timer is not None:
+            self.timer.cancel()
+        for connection in list(self.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        self.pages.clear()
+
+    def command(self, connection: EngineProtocol, parts: list[bytes]) -> None:
+        if self.silent:
+            return
+        if self.machine.fallen:
+            return self.stop()
+        word, now = parts[0], time.time_ns()
+        if word == b"do" and len(parts) == 4:
+            self._do(connection, parts[1], resp.read_pairs(parts[2]), parts[3], now)
+        elif word in (b"top", b"ping"):
+            connection.write(parts[1], b"green", b"meter=" + self.machine.report().encode(), b"")
+        elif word == b"page" and parts[1] in self.pages and parts[2].isdigit():
+            pages, number = self.pages[parts[1]], int(parts[2])
+            if number < len(pages):
+                connection.write(parts[1], b"rows", b"at=%d" % number, pages[number])
+        elif word == b"page":
+            connection.write(parts[1], b"crashed", b"-", b"")
+        elif word == b"forget":
+            self.pages.pop(parts[1], None)
+        elif word == b"undo" and self.honours_cancel:
+            self.machine.drop(parts[1])
+            self._look()
+
+    def _do(self, connection: EngineProtocol, id: bytes, fields: dict[str, str], statement: bytes,
+            now: int) -> None:
+        self.sent.append((now, id, statement))
+
+        def said(pattern: re.Pattern[bytes], default: int) -> int:
+            return int(found[1]) if (found := pattern.search(statement)) else default
+
+        self._finish(self.machine.pass_time(now))
+        threads = said(THREADS, 1)
+        if not self.machine.arrive(now, id, fields.get("cls", "").encode(), statement,
+                                   said(WORK, 1) * MS, threads):
+            connection.write(id, b"overload", b"meter=" + self.machine.report().encode(), b"")
+            return
+        self.askers[id] = connection
+        self._look()
+
+    def _look(self) -> None:
+        """One timer, for the query that ends first."""
+        if self.timer is not None:
+            self.timer.cancel()
+        now = time.time_ns()
+        if (end := self.machine.next_end(now)) is not None:
+            self.timer = asyncio.get_running_loop().call_later(max(0, end - now) / 1e9, self._due)
+
+    def _due(self) -> None:
+        self._finish(self.machine.pass_time(time.time_ns()))
+        self._look()
+
+    def _finish(self, runs: list[Run]) -> None:
+        for run in runs:
+            connection = self.askers.pop(run.id, None)
+            if connection is None or self.silent:
+                continue
+            rows = ROWS.search(run.statement)
+            pages = _pages(int(rows[1]) if rows else 1)
+            if len(pages) > 1:
+                self.pages[run.id] = pages
+            connection.write(run.id, b"served", b"chunks=%d,spent=%d,wanted=1,meter=%b" % (
+                len(pages), run.work // MS, self.machine.report().encode()), pages[0])
+
+
+def _pages(rows: int) -> list[bytes]:
+    each = PAGE // 24
+    lines = [b"%08d\trow\tvalue\n" % i for i in range(rows)]
+    return [b"".join(lines[i:i + each]) for i in range(0, max(1, len(lines)), each)]
+
+
+def ran_twice(engines: list[MachineEngine], cls: bytes) -> list[bytes]:
+    """Statements of a class that began more than once, over all ledgers. Each carries an id of its own."""
+    counts = Counter(run.statement for e in engines for run in e.machine.ledger if run.cls == cls)
+    return [statement for statement, count in counts.items() if count > 1]
--- a/larchhall/state/pools.py
+++ b/larchhall/state/pools.py
@@ -46,7 +46,8 @@
         free = [c for c in self._usable(now) if len(c.open) < self.pools.streams
                 and request.trace not in c.open and c not in request.carriers]
         best = min(free, key=lambda c: len(c.open), default=None)
-        if best is None or (best.open and len(self.connections) < self.pools.share() and self.pools.room()):
+        if best is None or (best.open and len(self.connections) < self.pools.share(self)
+                            and self.pools.room(self)):
             self.waiting.append(attempt)
             self._open()
         else:
@@ -82,7 +83,7 @@
         connection: EngineConnection | None = None
         address = self.target.host, self.target.port
         try:
-            if not self.pools.make_room():
+            if not self.pools.make_room(self):
                 # Danger: that is no fault of the engine's; taken for one, it excludes the busiest of them.
                 result = Result.NOT_SENT
                 raise OSError(errno.EMFILE, "no descriptor is left for engines")
@@ -197,7 +198,7 @@
         else:
             self.by_number[number] = EnginePool(self, number, target)
 
-    def share(self) -> int:
+    def share(self, pool: EnginePool) -> int:
         """Of the connections, for each engine."""
         live = sum(p.target.state is not EngineState.GONE for p in self.by_number.values())
         return max(1, int(self.most * OWN_PART) // max(1, live))
@@ -206,11 +207,11 @@
         return sum(sum(not c.ending for c in p.connections) + (p.opening is not None)
                    for p in self.by_number.values())
 
-    def room(self) -> bool:
+    def room(self, pool: EnginePool) -> bool:
         """For one more that is an attempt's own."""
         return self._held() < self.most * OWN_PART
 
-    def make_room(self) -> bool:
+    def make_room(self, pool: EnginePool) -> bool:
         """Danger: descriptors run out and clients can't come in: engines take no more than their part."""
         if self._held() <= self.most:  # the one that is opening counts already
             return True
--- a/larchhall/wire/engine.py
+++ b/larchhall/wire/engine.py
@@ -83,6 +83,10 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(resp.encode(*parts))
 
+    def give_up(self, why: str) -> None:
+        """End it with all that is open there; no fault of the engine's."""
+        self._drop(why, spoilt=True)
+
     def close(self) -> None:
         self.retired = self.ending = True
         if self.transport is not None:
--- a/larchhall/wire/operator.py
+++ b/larchhall/wire/operator.py
@@ -16,8 +16,8 @@
 TEXT = "text/plain; charset=utf-8"
 METRICS = "text/plain; version=0.0.4; charset=utf-8"
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-           413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
-           503: "Service Unavailable"}
+           409: "Conflict", 413: "Content Too Large",
+           431: "Request Header Fields Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
 DISABLE, ENABLE = "/data-engines/disable/", "/data-engines/enable/"
 
 
@@ -34,6 +34,9 @@
 
     def set_engine(self, uid: str, out: bool) -> bool: ...
 
+    def other(self, method: str, path: str) -> tuple[int, bytes, str, str] | None:
+        """Status, body, kind and allowed method of a call that is not the daemon's own; None: no such."""
+
     def came(self, caller: OperatorConnection) -> None: ...
 
     def went(self, caller: OperatorConnection) -> None: ...
@@ -140,6 +143,8 @@
             raise Answer(400, "the path cannot be read") from None
 
     def _call(self, method: str, path: str) -> None:
+        if (other := self.operations.other(method, path)) is not None:
+            return self._write(*other)
         engine = path.startswith((DISABLE, ENABLE))
         if not engine and path not in ("/ready", "/metrics"):
             raise Answer(404, "no such call")
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -19,7 +19,14 @@
 
 from larchhall.config import Config, parse
 from larchhall.lifecycle.boot import Node
-from larchhall.wire import frames, resp
+from larchhall.standins.bus import ScriptedBus as Bus
+from larchhall.standins.bus import event, target
+from larchhall.standins.engine import ScriptedEngine as Engine
+from larchhall.standins.world import settings
+from larchhall.wire import frames
+
+__all__ = ["MS", "STATEMENT", "TRACE", "Bus", "Client", "Engine", "Rig", "event", "free_port", "make_config",
+           "on_uvloop", "running", "settings", "target", "until", "within"]
 
 MS = 1_000_000
 HANG = 20.0
@@ -28,31 +35,6 @@
 STATEMENT = b"SELECT 1 FROM sales_17.orders"
 
 
-def settings(**changes: Any) -> dict[str, Any]:
-    classes = [dict(name="lookup", aim=1_000 * MS, deadline=5_000 * MS, worth=1.0, effect="read_like"),
-               dict(name="till-load", aim=3_000 * MS, deadline=25_000 * MS, worth=7.5,
-                    effect="non_idempotent")]
-    base: dict[str, Any] = dict(
-        classes=classes, fleet_size=1, tick=5 * MS, zone="east", kinds=["std"], tenants=[{"name": "acme"}],
-        contract=dict(drain_grace=1_000 * MS, start_capacity=0.36, cold=12_000 * MS, fall=1_500 * MS,
-                      fall_multiple=2.0),
-        policy_limits=dict(cancel=False, probing=True, second_copies=False, send_cap=5, retry_after=True,
-                           max_retry_after=2_000 * MS, connect_timeout=250 * MS, conn_idle=30_000 * MS,
-                           streams_per_conn=32),
-        report=dict(fields=["q", "rif", "x1", "x0"], via="pull"),
-        specifics=dict(size_cores=[8], parallelism=[1, 2], memory_heeded=True, lanes_count=True))
-    return {**base, **changes}
-
-
-def target(uid: str, port: int, state: str = "in_service", **more: Any) -> dict[str, Any]:
-    return {"uid": uid, "endpoint": f"127.0.0.1:{port}", "az": "east", "model": "std", "pod_group": 2,
-            "state": state, "capacity_hint": 8, "boot_ms": 0, **more}
-
-
-def event(offset: int, *targets: dict[str, Any], full: bool = False) -> dict[str, Any]:
-    return {"offset": offset, "topology": {"rev": offset, "all": full, "targets": list(targets)}}
-
-
 def make_config(*targets: dict[str, Any], bus: int = 0, operator: bool = False, listed: bool = True,
                 **changes: Any) -> Config:
     raw: dict[str, Any] = {
@@ -73,45 +55,6 @@
         return int(probe.getsockname()[1])
 
 
-Script = Callable[["Engine", list[bytes], asyncio.StreamWriter], Any]
-
-
-class Engine:
-    """A data engine whose every answer a test writes: `script` is called with each command's parts."""
-
-    def __init__(self, script: Script | None = None) -> None:
-        self.script = script or (lambda engine, parts, writer: engine.serve(parts, writer))
-        self.seen: list[list[bytes]] = []
-        self.writers: list[asyncio.StreamWriter] = []  # of all connections
-        self.carried: list[asyncio.StreamWriter] = []  # of the connection of each command seen
-
-    async def start(self) -> int:
-        self.server = await asyncio.start_server(self._client, "127.0.0.1", 0)
-        return int(self.server.sockets[0].getsockname()[1])
-
-    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        parser = resp.RespParser()
-        self.writers.append(writer)
-        try:
-            while data := await reader.read(65_536):
-                for parts in parser.feed(data):
-                    self.seen.append(parts)
-                    self.carried.append(writer)
-                    self.script(self, parts, writer)
-        except ConnectionError:
-            pass
-
-    def serve(self, parts: list[bytes], writer: asyncio.StreamWriter) -> None:
-        if parts[0] == b"do":
-            writer.write(resp.encode(parts[1], b"served", b"chunks=1,spent=5,wanted=3", b"a\tb\tc\n"))
-
-    def writer_of(self, parts: list[bytes]) -> asyncio.StreamWriter:
-        return next(w for seen, w in zip(self.seen, self.carried, strict=True) if seen is parts)
-
-    def words(self, word: bytes) -> list[list[bytes]]:
-        return [parts for parts in self.seen if parts[0] == word]
-
-
 class Client:
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -238,7 +238,7 @@
     """Danger: a start at full speed takes the core from the process beside it, whose loop stands still."""
     done: list[Any] = []
     monkeypatch.setattr("larchhall.cli.time.sleep", done.append)
-    monkeypatch.setattr("larchhall.lifecycle.boot.serve", lambda config: done.append(config.accept_fd))
+    monkeypatch.setattr("larchhall.lifecycle.boot.serve", lambda make: done.append(make.args[0].accept_fd))
     env = write_config(tmp_path) | ({"PROXY_ACCEPT_FD": "3"} if held else {"PROXY_ACCEPT_FD": ""})
     assert CliRunner().invoke(main, ["serve"], env=env).exit_code == 0
     expected: list[Any] = [BREATH, 3] if held else [None]
--- a/tests/test_sockets_bus.py
+++ b/tests/test_sockets_bus.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import os
 import signal
@@ -14,6 +13,7 @@
 
 from .sockets import (
     MS,
+    Bus,
     Engine,
     Rig,
     event,
@@ -32,24 +32,6 @@
     monkeypatch.setattr("larchhall.wire.feed.SILENT", 1 << 62)  # a slow machine is no silent bus
 
 
-class Bus:
-    def __init__(self) -> None:
-        self.asked: list[bytes] = []
-        self.writer: asyncio.StreamWriter | None = None
-
-    async def start(self) -> int:
-        self.server = await asyncio.start_server(self._client, "127.0.0.1", 0)
-        return int(self.server.sockets[0].getsockname()[1])
-
-    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.writer = writer
-        self.asked.append(await reader.readline())
-
-    def tell(self, line: object) -> None:
-        assert self.writer is not None
-        self.writer.write((line if isinstance(line, str) else json.dumps(line)).encode() + b"\n")
-
-
 @on_uvloop
 async def test_asks_for_what_it_lacks_learns_it_and_resumes_after_a_cut() -> None:
     bus, engine = Bus(), Engine()
--- a/tests/test_sockets_engine.py
+++ b/tests/test_sockets_engine.py
@@ -274,7 +274,8 @@
         for stream in range(1, 21):
             client.ask(stream=stream, trace=f"{stream:016x}", weight="1.0")
         await until(lambda: len(engine.words(b"do")) == 20)
-        assert len(engine.writers) == 6 and pools_.make_room()
+        (pool,) = pools_.by_number.values()
+        assert len(engine.writers) == 6 and pools_.make_room(pool)
 
 
 @on_uvloop
