Deadlines: an outbox for each engine connection, gates at each hand-over, cancel scopes

Need: an attempt could wait in a pool or in the transport's buffer when its client had left, and go out all the same. Change: frames wait in our hands and go out by writev, so that how much has left is known to the byte; a request that ends takes back what is unsent; gates ask again at each hand-over (client, time, ban, drain); undone attempts hold their stream until they are silent. Further attempts may be budgeted, margins learned, lines structured: operators' file.

--- a/deploy/operators.star
+++ b/deploy/operators.star
@@ -30,3 +30,18 @@
 
 # How long a move may stay in each stage, in seconds.
 moves(propose = 10, warm = 30, settle = 1, watch = 2, switched = 10, drain = 60, lost = 0.5)
+
+# Deadlines. Without this word a request's time counts from its last byte, 10 ms of it are kept for the answer's
+# way back, and a client that ends its side has left.
+#   learn        the margin is learned from the time that deciding and answering take, within its bounds
+#   count_from   "first": the time that a request took to come in counts as well
+#   half_close   "answer": a client may end its side and still wait for its answers
+deadlines(learn = True, margin_ms = 10, least_margin_ms = 2, most_margin_ms = 50, half_close = "answer")
+
+# Further attempts are a fifth of first ones at the most, by class and tenant; ten may be saved up. `first` is the
+# part of its time that the first attempt of a safe class gets.
+further_attempts(share = 0.2, burst = 10, first = 0.7)
+further_class("report", share = 0.1, burst = 2)
+
+# Lines as text (logfmt) or JSON; one request in a hundred gets a line that says where its time went.
+logs(format = "json", stories = 0.01)
--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -13,14 +13,21 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from functools import partial
+from typing import TYPE_CHECKING, cast
 
 from .config import Config
+from .deadlines.further import Budget, attempt_time
+from .deadlines.gates import Hand, Passing, Stop, Tally, stop
+from .deadlines.scopes import Act, Kind, Outcome, Scope
+from .deadlines.terms import Deadlines, Stage
 from .facade import (
     Beside,
     Closing,
+    Effect,
     Ended,
     EngineBan,
     EngineNews,
+    EngineState,
     Facade,
     Left,
     LoadReport,
@@ -33,7 +40,7 @@
 )
 from .state.bans import Bans, Word
 from .state.engines import EngineTable
-from .state.figures import ERROR, OVERLOAD, SUCCESS, Figures
+from .state.figures import ERROR, OVERLOAD, STATUSES, SUCCESS, Figures
 from .state.pools import Pools
 from .state.requests import Attempt, Client, OpenRequest
 from .state.wheel import Clock, Wheel
@@ -41,6 +48,9 @@
 from .wire.bus import BusEvent
 from .wire.engine import EngineConnection
 
+if TYPE_CHECKING:
+    from .deadlines.stages import Stages
+
 MS = 1_000_000
 MOST_PATIENCE_MS = 3_600_000.0
 MOST_ESTIMATE = 1e7      # milliseconds, megabytes
@@ -103,6 +113,13 @@
         self.requests: dict[str, OpenRequest] = {}
         self.ids: dict[bytes, list[OpenRequest]] = {}  # the open requests again, by the client's id
         self.probing: dict[bytes, tuple[int, int]] = {}
+        self.blocked: dict[EngineConnection, None] = {}  # their sockets took no more
+        self.tally = Tally()
+        self.terms = Deadlines()
+        self.stages: Stages | None = None  # where operators want to see, or to learn from, each stage
+        self.budget: Budget | None = None  # for further attempts, where operators set one
+        self.story: Callable[[OpenRequest, str], None] | None = None
+        self.margin = WAY_BACK
         self.later: list[tuple[Attempt, Result]] = []
         self.count = 0
         self.held = 0
@@ -115,7 +132,7 @@
     def _connections(self) -> Pools:
         config = self.config
         return Pools(self, self.log, streams=config.streams, connect_timeout=config.connect_timeout,
-                     conn_idle=config.conn_idle, unsent=self._unsent)
+                     conn_idle=config.conn_idle, unsent=self._unsent, may_go=self._may_go)
 
     def _has_room(self, request: OpenRequest) -> bool:
         """For one more statement. Danger: a flood of large ones ends the process for memory, and all that it
@@ -158,14 +175,15 @@
 
     # --- clients ---
 
-    def submit(self, client: Client, stream: int, ask: Ask) -> OpenRequest:
-        """Take a request. Danger: nothing malformed may reach an engine or the decisions."""
+    def submit(self, client: Client, stream: int, ask: Ask, came: int = 0) -> OpenRequest:
+        """Take a request; ``came``: when its first byte was read. Danger: nothing malformed may reach an
+        engine or the decisions."""
         try:
             self._check(ask)
         except Unusable:
             self.figures.answered(ask.route, ERROR)
             raise
-        return self._take(client, stream, ask)
+        return self._take(client, stream, ask, came)
 
     def _check(self, ask: Ask) -> None:
         if ask.route not in self.deadlines:
@@ -181,14 +199,17 @@
                 # Danger: the engine takes it for the open one, and answers one of them with the other's rows.
                 raise Unusable("trace: is open with another statement")
 
-    def _take(self, client: Client, stream: int, ask: Ask) -> OpenRequest:
+    def _take(self, client: Client, stream: int, ask: Ask, came: int = 0) -> OpenRequest:
         trace, now = ask.trace.encode(), self.now()
         # Danger: books kept for an hour, since a client says that it waits so long: its class ends sooner.
         patience = min(int(ask.patience_ms * MS), self.deadlines[ask.route])
-        patience -= min(WAY_BACK, patience // 4)
+        patience -= min(self.margin, patience // 4)
+        if came and self.terms.count_from == "first":
+            patience = max(1, patience - (now - came))
         self.count += 1
         request = OpenRequest(str(self.count), trace, ask.route.encode(), ask.statement, client,
-                              stream, now + patience)
+                              stream, now + patience, ask.customer or "", Scope(Kind.REQUEST, trace),
+                              came or now, now)
         self.concurrent += 1
         if not self._has_room(request):
             self.log("client", "no room for another statement: refused")
@@ -215,7 +236,10 @@
         if request.client is not None:
             request.client = None
             self.concurrent -= 1
+            if self.story is not None:
+                self.story(request, "left")
             self._report(Left(request.id))
+            self._end_scope(request)
             self._close_out(request)
 
     def _answering(self, request: OpenRequest, status: int) -> Client:
@@ -225,6 +249,8 @@
         assert client is not None, "a second answer"
         self.concurrent -= 1
         self.figures.answered(request.route.decode(), status)
+        if self.story is not None:
+            self.story(request, STATUSES[status])
         return client
 
     # --- operators ---
@@ -250,8 +276,14 @@
             pool.take_back() if word.out else pool.renew()
 
     def metrics(self) -> bytes:
-        self.pools.count_written()
-        return self.figures.text(self.concurrent, len(self.engines.by_uid), self.facade.avoided())
+        text = self.figures.text(self.concurrent, len(self.engines.by_uid), self.facade.avoided())
+        return text if self.stages is None else text + self.deadline_figures()
+
+    def deadline_figures(self) -> bytes:
+        from .deadlines.figures import text
+
+        assert self.stages is not None
+        return text(self.tally, self.stages, self.margin, self.budget)
 
     def beside(self, others: Beside) -> None:
         """What the other processes of this broker have out counts with ours."""
@@ -267,9 +299,14 @@
                 self._carry_out(now, self.facade.tick(now))
             except Exception:
                 self.log("fault", traceback.format_exc())
-        later, self.later = self.later, []
-        for attempt, result in later:
-            self._end(attempt, result, None)
+        if self.blocked:
+            blocked, self.blocked = self.blocked, {}
+            for connection in blocked:
+                connection.flush()
+        while self.later:  # an end may order what ends at once
+            later, self.later = self.later, []
+            for attempt, result in later:
+                self._end(attempt, result, None)
 
     def news(self, event: BusEvent) -> None:
         entries = self.engines.learn(event)
@@ -307,6 +344,7 @@
                 self._answering(request, OVERLOAD).refused(request.stream, -(-verdict.pause // MS))
             else:
                 self._answering(request, ERROR).failed(request.stream, "")
+            self._end_scope(request)
             self._close_out(request)
         for id, number in orders.cancels:
             self._cancel(id, number)
@@ -328,22 +366,105 @@
             return
         attempt = Attempt(request, order.attempt, order.engine, now, now + order.timeout)
         request.attempts[attempt.number] = attempt
+        attempt.scope = request.scope.open(Kind.ATTEMPT, attempt)
+        if self.budget is not None and not self._in_budget(self.budget, request, attempt):
+            self.tally.stopped[Hand.POOL, Stop.BUDGET] += 1
+            self.later.append((attempt, Result.NOT_SENT))
+            return
         attempt.timer = self.wheel.at(attempt.until, partial(self._out_of_time, attempt))
         if (pool := self.pools.get(order.engine)) is not None:
             pool.send(attempt, now)
         else:  # reported with the next tick: an order's failure must not come before the order is done
             self.later.append((attempt, Result.CONNECT_FAILED))
 
+    def _in_budget(self, budget: Budget, request: OpenRequest, attempt: Attempt) -> bool:
+        """A further attempt is paid for; a first one may be cut short where it can be made again."""
+        route = request.route.decode()
+        spec = next((c for c in self.config.settings.classes if c.name == route), None)
+        safe = spec is not None and spec.effect is Effect.SAFE
+        attempt.until = attempt.sent + attempt_time(attempt.until - attempt.sent, attempt.number, safe,
+                                                    budget.terms)
+        if attempt.number:
+            return budget.further(route, request.customer)
+        budget.first(route, request.customer)
+        return True
+
+    # --- gates and scopes: what is not wanted any more goes no further ---
+
+    def _may_go(self, attempt: Attempt, hand: Hand) -> bool:
+        """The gate at a hand-over. What it stops is reported as never sent, with the next tick."""
+        if attempt.reported:
+            return False
+        now = self.now()
+        known = self.engines.by_number.get(attempt.engine)
+        drained = known is None or known.target.state is not EngineState.READY
+        why = stop(now, Passing(
+            attempt.request.client is not None, min(attempt.until, attempt.request.deadline),
+            0 if self.stages is None else self.stages.fastest(attempt.request.route.decode(), now),
+            known is not None and bool(self.bans.words) and self.bans.out(known.target.uid),
+            now if drained else 0))
+        if why is None:
+            return True
+        self.tally.stopped[hand, why] += 1
+        self._unsent_later(attempt)
+        return False
+
+    def may_go(self, attempt: Attempt) -> bool:
+        return self._may_go(attempt, Hand.SOCKET)
+
+    def _unsent_later(self, attempt: Attempt) -> None:
+        if attempt.connection is not None:
+            attempt.connection.open.pop(attempt.request.trace, None)
+        self.later.append((attempt, Result.NOT_SENT))
+
+    def _end_scope(self, request: OpenRequest) -> None:
+        """Nobody waits for the request any more: nothing unsent of it leaves, what is out is undone where
+        engines honour that, and no more pages are asked for."""
+        for act, scope in request.scope.end(self.config.settings.limits.cancel):
+            if act is not Act.ANSWER:
+                self._act(act, cast(Attempt, scope.name if scope.kind is Kind.ATTEMPT
+                                    else cast(Scope, scope.parent).name))
+
+    def _act(self, act: Act, attempt: Attempt) -> None:
+        connection = attempt.connection
+        if attempt.reported:
+            if act is Act.UNDO and connection is not None and not connection.closed \
+                    and connection.open.get(attempt.request.trace) is attempt:
+                self._undo(attempt, connection)  # timed out, and running all the same
+            return
+        if act is Act.TAKE_BACK:
+            if connection is None or connection.take_back(attempt):
+                self.tally.stopped[Hand.POOL if connection is None else Hand.SOCKET, Stop.LEFT] += 1
+                self.later.append((attempt, Result.NOT_SENT))
+        elif act is Act.UNDO and connection is not None:
+            self._undo(attempt, connection)
+            self.later.append((attempt, Result.CANCELLED))
+        elif act is Act.FORGET and connection is not None:
+            connection.forget(attempt)  # it has run; only its pages are left
+            self.later.append((attempt, Result.SERVED))
+
+    def _undo(self, attempt: Attempt, connection: EngineConnection) -> None:
+        connection.undo(attempt)
+        self.tally.undone += 1
+
+    def undone(self, outcome: Outcome, count: int) -> None:
+        if outcome is Outcome.WENT_ON:
+            self.tally.went_on += count
+        else:
+            self.tally.cancelled += count
+
+    def stuck(self, connection: EngineConnection) -> None:
+        self.blocked[connection] = None
+
     def _cancel(self, id: str, number: int) -> None:
         request = self.requests.get(id)
         attempt = request.attempts.get(number) if request is not None else None
         # Danger: sites forbid it; an `undo` there is a broken rule.
-        if attempt is None or not self.config.settings.limits.cancel:
+        if attempt is None or attempt.scope is None or not self.config.settings.limits.cancel:
             return
-        if attempt.written and attempt.connection is not None:
-            attempt.connection.undo(attempt)
-            attempt.connection.open.pop(attempt.request.trace, None)
-        self.later.append((attempt, Result.CANCELLED))
+        for act, scope in attempt.scope.end(True):
+            if scope.kind is Kind.ATTEMPT:
+                self._act(act, attempt)
 
     def _probe(self, now: int, engine: int) -> None:
         self.count += 1
@@ -359,6 +480,8 @@
         self.probed(tag, Result.TIMEOUT, "")
 
     def _out_of_time(self, attempt: Attempt) -> None:
+        if not attempt.written and attempt.connection is not None:
+            attempt.connection.take_back(attempt)
         self._end(attempt, Result.TIMEOUT if attempt.written else Result.CONNECT_FAILED, None)
 
     def _unsent(self, attempt: Attempt, result: Result) -> None:
@@ -366,23 +489,40 @@
 
     # --- what connections to engines tell ---
 
-    def written(self, attempts: int) -> None:
-        self.figures.dispatches += attempts
+    def written(self, attempt: Attempt) -> None:
+        self.figures.dispatches += 1
+        attempt.gone = self.now()
+        if not attempt.wanted():  # it was half gone when this came: the rest had to follow
+            self.tally.begun_after[Stop.PAST if attempt.request.client is not None else Stop.LEFT] += 1
 
     def whole(self, attempt: Attempt, meter: str) -> None:
         """Every page is here: the answer goes out as one frame, if somebody still waits for it."""
         request = attempt.request
         if request.client is not None:
             body = b"".join(page for page in attempt.pages if page is not None)
+            if self.stages is not None:
+                self._time(self.stages, attempt)
             self._answering(request, SUCCESS).served(request.stream, body)
         attempt.pages = []
+        if attempt.scope is not None:
+            attempt.scope.close()
         self._end(attempt, Result.SERVED, self._load(meter))
+        self._end_scope(request)
+
+    def _time(self, stages: Stages, attempt: Attempt) -> None:
+        """How long each stage of a served request took."""
+        request, now = attempt.request, self.now()
+        route = request.route.decode()
+        marks = (request.came, request.taken, attempt.sent, attempt.put, attempt.gone, now)
+        for stage, begun, ended in zip(Stage, marks, marks[1:], strict=False):
+            stages.add(route, stage, ended - begun, now)
 
     def ended(self, attempt: Attempt, result: Result, meter: str) -> None:
         self._end(attempt, result, self._load(meter))
 
     def late(self, attempt: Attempt, meter: str) -> None:
         """An answer that nobody waits for: dropped, but its load report is as good as any."""
+        self.tally.late += 1
         if (load := self._load(meter)) is not None:
             self._report(Probed(attempt.engine, Result.SERVED, 0, load))
 
@@ -399,7 +539,9 @@
         if attempts:
             self.log("engine", f"connection with {len(attempts)} open attempts ended: {why}")
         for attempt in attempts:
-            self._end(attempt, Result.CANCELLED if spoilt else Result.RESET, None)
+            # Of what had not left, nothing ran, whatever became of the rest.
+            self._end(attempt, Result.NOT_SENT if not attempt.written
+                      else Result.CANCELLED if spoilt else Result.RESET, None)
         for tag in connection.probes:
             self.probed(tag, Result.RESET, "")
 
@@ -420,6 +562,8 @@
             attempt.timer.cancel()
         request = attempt.request
         request.attempts.pop(attempt.number, None)
+        if attempt.number and self.budget is not None and not attempt.written:
+            self.budget.back(request.route.decode(), request.customer)
         latency = (attempt.answered or self.now()) - attempt.sent
         self._report(Ended(request.id, attempt.number, attempt.engine, result, latency,
                            request.client is None, load))
--- a/larchhall/cli.py
+++ b/larchhall/cli.py
@@ -69,9 +69,9 @@
     except OperatorFileError as error:
         raise ConfigError(str(error)) from None
     if said.map is None:
-        from .lifecycle.boot import Node
+        from .operators.node import FiledNode
 
-        return partial(Node, config)
+        return partial(FiledNode, config, said, path)
     from .rooms.node import CelledNode
 
     return partial(CelledNode, config, said, path)
--- a/larchhall/facade.py
+++ b/larchhall/facade.py
@@ -12,11 +12,11 @@
 
 from . import interface as api
 from .brain import AdmissionController
-from .interface import EngineEntry, EngineState, LoadReport, Outstanding, Result
+from .interface import Effect, EngineEntry, EngineState, LoadReport, Outstanding, Result
 from .state.wheel import Wheel
 
-__all__ = ["Beside", "Closing", "Ended", "EngineBan", "EngineEntry", "EngineNews", "EngineState", "Facade",
-           "Left", "LoadReport", "Orders", "Outstanding", "Probed", "Query", "Result", "Retuned",
+__all__ = ["Beside", "Closing", "Effect", "Ended", "EngineBan", "EngineEntry", "EngineNews", "EngineState",
+           "Facade", "Left", "LoadReport", "Orders", "Outstanding", "Probed", "Query", "Result", "Retuned",
            "SendOrder", "Verdict"]
 
 
--- a/larchhall/lifecycle/boot.py
+++ b/larchhall/lifecycle/boot.py
@@ -29,7 +29,6 @@
 BACKLOG = 1_024
 SWEEP = 0.25            # s between looks at idle connections and slow readers
 LAGGED = 100_000_000    # ns; a tick so late is logged
-SLOW_READER = 30_000_000_000  # ns that a client may leave its answers unread
 
 
 def raise_descriptors(wanted: int) -> int:
@@ -246,7 +245,8 @@
         unread = 0
         for client in sorted(self.clients, key=ClientConnection.unread):
             unread += client.unread()
-            if unread > self.broker.room or (client.paused_at and now - client.paused_at > SLOW_READER):
+            if unread > self.broker.room or (
+                    client.paused_at and now - client.paused_at > self.broker.terms.slow_reader):
                 self.log("client", "unread answers are given up, their connection closed")
                 client.drop()
 
--- /dev/null
+++ b/larchhall/operators/node.py
@@ -0,0 +1,104 @@
+"""A node with an operators' file: what the file sets is put in force at the start and at SIGHUP."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Mapping
+from functools import partial
+
+from ..broker import WAY_BACK
+from ..config import Config
+from ..deadlines.further import Budget
+from ..deadlines.terms import Deadlines
+from ..lifecycle.boot import Node
+from .script import Evaluated, OperatorFileError, evaluate
+
+LEARN = 1_000_000_000  # ns between two looks at the margin
+
+
+class FiledNode(Node):
+    """``said``: what the file says now; ``path``: where SIGHUP reads it again."""
+
+    def __init__(self, config: Config, said: Evaluated, path: str,
+                 environ: Mapping[str, str] = os.environ) -> None:
+        self.said, self.path = said, path
+        self.pending: Evaluated | None = None
+        self.reading: asyncio.Future[Evaluated] | None = None
+        self.learned = 0
+        super().__init__(config, environ)
+        self._set_terms(said)
+
+    # --- what the file says ---
+
+    def _check(self, said: Evaluated) -> Evaluated:
+        """Turn it down here, before anything is changed."""
+        if said.map is not None:
+            raise OperatorFileError(f"{self.path}: cell: cells need a start anew, since there were none")
+        return said
+
+    def _apply(self, said: Evaluated) -> None:
+        self.said = said
+        self._set_terms(said)
+
+    def _set_terms(self, said: Evaluated) -> None:
+        broker, terms = self.broker, said.deadlines or Deadlines()
+        broker.terms = terms
+        if terms.learn:
+            from ..deadlines.stages import Stages
+
+            if broker.stages is None or broker.stages.terms != terms.margin:
+                broker.stages = Stages(terms.margin)
+            broker.margin = broker.stages.margin
+        else:
+            broker.stages, broker.margin = None, WAY_BACK
+        if terms.further is None:
+            broker.budget = None
+        elif broker.budget is None or broker.budget.terms != terms.further:
+            broker.budget = Budget(terms.further)
+        self.log.sink, broker.story = None, None
+        if said.logs is not None and said.logs.format != "plain":
+            from ..lifecycle.structured import Lines, stories
+
+            lines = Lines(self.config.name, said.logs)
+            self.log.sink = lines
+            broker.story = stories(self.log, lines, self.clock.now)
+
+    def _tick(self, loop: asyncio.AbstractEventLoop) -> None:
+        super()._tick(loop)
+        now = self.clock.now()
+        if self.broker.stages is not None and now - self.learned >= LEARN:
+            self.learned = now
+            self.broker.margin = self.broker.stages.learn(now)
+
+    # --- SIGHUP ---
+
+    def reload(self) -> None:
+        """The operators' file is evaluated beside the loop, then both files are taken or neither."""
+        if self.drain.begun_at:
+            return super().reload()
+        if self.reading is not None:
+            return
+        loop = asyncio.get_running_loop()
+        self.reading = loop.run_in_executor(None, partial(evaluate, self.path))
+        self.reading.add_done_callback(self._evaluated)
+
+    def _evaluated(self, future: asyncio.Future[Evaluated]) -> None:
+        self.reading = None
+        if future.cancelled():
+            return
+        try:
+            self.pending = self._check(future.result())
+        except OperatorFileError as error:
+            self._turned_down(str(error))
+            return
+        except Exception as error:  # danger: no file, however odd, may end a process that serves
+            self._turned_down(f"{self.path}: {type(error).__name__}: {error}")
+            return
+        super().reload()
+        self.pending = None
+
+    def _take(self, read: Config) -> None:
+        super()._take(read)
+        if self.pending is not None:
+            self._apply(self.pending)
--- a/larchhall/operators/script.py
+++ b/larchhall/operators/script.py
@@ -15,11 +15,13 @@
 import sys
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from pathlib import Path
 from typing import Any
 
 from ..cells.model import BadMap, CellMap, from_plain
+from ..deadlines.further import Terms as FurtherTerms
+from ..deadlines.terms import Deadlines, Logs, MarginTerms
 from .words import MOST_CALLS, WORDS, BadWord, Draft
 
 MOST_FILE = 4 << 20       # bytes of the file
@@ -37,7 +39,9 @@
 class Evaluated:
     """What the operators' file says. A part of which it says nothing is None."""
 
-    map: CellMap | None
+    map: CellMap | None = None
+    deadlines: Deadlines | None = None
+    logs: Logs | None = None
 
 
 def evaluate(path: str) -> Evaluated:
@@ -59,11 +63,20 @@
         raise OperatorFileError(f"{path}: evaluation: {'out of its bounds' if done.returncode < 0 else last}")
     try:
         said = json.loads(done.stdout)
-        return Evaluated(None if said["map"] is None else from_plain(said["map"]))
+        return Evaluated(None if said["map"] is None else from_plain(said["map"]),
+                         None if said["deadlines"] is None else _deadlines(said["deadlines"]),
+                         None if said["logs"] is None else Logs(**said["logs"]))
     except (ValueError, KeyError, TypeError, BadMap) as error:
         raise OperatorFileError(f"{path}: evaluation: {error}") from None
 
 
+def _deadlines(raw: dict[str, Any]) -> Deadlines:
+    further = raw["further"]
+    if further is not None:
+        further = FurtherTerms(**{**further, "classes": tuple(map(tuple, further["classes"]))})
+    return Deadlines(**{**raw, "margin": MarginTerms(**raw["margin"]), "further": further})
+
+
 def run(path: str, text: str, stop: Callable[[], bool]) -> Draft:
     """All words of the text, in their order; OperatorFileError with file, line and key.
 
@@ -136,8 +149,11 @@
             text = file.read(MOST_FILE + 1)
         if len(text) > MOST_FILE:
             raise OperatorFileError(f"{path}: file: is longer than {MOST_FILE} characters")
-        map = run(path, text, lambda: time.monotonic() > end).finish()
-        print(json.dumps({"map": None if map is None else map.plain()}))
+        draft = run(path, text, lambda: time.monotonic() > end)
+        map, deadlines = draft.finish(), draft.deadline_terms()
+        print(json.dumps({"map": None if map is None else map.plain(),
+                          "deadlines": None if deadlines is None else asdict(deadlines),
+                          "logs": None if draft.logs is None else asdict(draft.logs)}))
         return 0
     except OperatorFileError as error:
         print(error)
--- a/larchhall/operators/words.py
+++ b/larchhall/operators/words.py
@@ -8,10 +8,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field, fields
+from dataclasses import dataclass, field, fields, replace
 from typing import Any
 
 from ..cells.model import KEY_FIELDS, BadMap, Cell, CellMap, Tenant, Timing
+from ..deadlines.further import Terms as FurtherTerms
+from ..deadlines.terms import Deadlines, Logs, MarginTerms
 
 MOST_CALLS = 200_000
 MS = 1_000_000
@@ -37,9 +39,23 @@
     tenants: dict[str, Tenant] = field(default_factory=dict)
     said_at: dict[tuple[str, str], int] = field(default_factory=dict)  # the call of a word on a name
     once: set[str] = field(default_factory=set)
+    deadlines: Deadlines | None = None
+    further: FurtherTerms | None = None
+    further_classes: dict[str, tuple[str, float, float]] = field(default_factory=dict)
+    logs: Logs | None = None
+
+    def deadline_terms(self) -> Deadlines | None:
+        """What is said of deadlines and of further attempts; None: nothing."""
+        if self.deadlines is None and self.further is None:
+            return None
+        further = self.further and replace(self.further, classes=tuple(self.further_classes.values()))
+        return replace(self.deadlines or Deadlines(), further=further)
 
     def finish(self) -> CellMap | None:
         """The cell map, if the file names cells; BadWord where its words do not fit together."""
+        if self.further_classes and self.further is None:
+            name = next(iter(self.further_classes))
+            raise BadWord("further_class: needs further_attempts", self.said_at["further_class", name])
         if not self.cells:
             if self.tenants:
                 name = next(iter(self.tenants))
@@ -176,5 +192,63 @@
                              for key, value in seconds.items()})
 
 
+def _flag(value: Any, key: str) -> bool:
+    if not isinstance(value, bool):
+        raise BadWord(f"{key}: {value!r:.60} is neither True nor False")
+    return value
+
+
+def _share(value: Any, key: str) -> float:
+    if (value := _number(value, key)) > 1:
+        raise BadWord(f"{key}: must lie in 0 to 1")
+    return float(value)
+
+
+def deadlines(draft: Draft, learn: Any = False, margin_ms: Any = 10, least_margin_ms: Any = 2,
+              most_margin_ms: Any = 100, margin_share: Any = 0.99, count_from: Any = "last",
+              half_close: Any = "left", slow_reader: Any = 30) -> None:
+    """How a request's time is counted, and when its client has left."""
+    _single(draft, "deadlines")
+    start, least, most = (int(_number(v, f"deadlines.{k}", above=True) * MS) for k, v in (
+        ("margin_ms", margin_ms), ("least_margin_ms", least_margin_ms), ("most_margin_ms", most_margin_ms)))
+    if not least <= start <= most:
+        raise BadWord("deadlines.margin_ms: must lie in least_margin_ms to most_margin_ms")
+    draft.deadlines = Deadlines(
+        _flag(learn, "deadlines.learn"),
+        MarginTerms(start, least, most, _share(margin_share, "deadlines.margin_share")),
+        _choice(count_from, "deadlines.count_from", ("first", "last")),
+        _choice(half_close, "deadlines.half_close", ("left", "answer")),
+        int(_number(slow_reader, "deadlines.slow_reader", above=True) * 1000) * MS)
+
+
+def further_attempts(draft: Draft, share: Any = 0.2, burst: Any = 10, by_tenant: Any = True, first: Any = 1.0,
+                     least_ms: Any = 100) -> None:
+    """A budget for further attempts: a share of a token for each first one, and how many may be saved up."""
+    _single(draft, "further_attempts")
+    if not (first := _share(first, "further_attempts.first")):
+        raise BadWord("further_attempts.first: must be above 0")
+    draft.further = FurtherTerms(
+        _number(share, "further_attempts.share"), _number(burst, "further_attempts.burst", 1), (),
+        _flag(by_tenant, "further_attempts.by_tenant"), first,
+        int(_number(least_ms, "further_attempts.least_ms", above=True) * MS))
+
+
+def further_class(draft: Draft, name: Any, share: Any, burst: Any) -> None:
+    """Another budget for one class."""
+    name = _text(name, "further_class.name")
+    _new(draft, "further_class", name, draft.further_classes)
+    draft.further_classes[name] = (name, _number(share, "further_class.share"),
+                                   _number(burst, "further_class.burst", 1))
+
+
+def logs(draft: Draft, format: Any = "text", stories: Any = 0.0) -> None:
+    """Structured lines, and the share of requests that get a line of their own."""
+    _single(draft, "logs")
+    draft.logs = Logs(_choice(format, "logs.format", ("plain", "text", "json")),
+                      _share(stories, "logs.stories"))
+
+
 WORDS: dict[str, Callable[..., Any]] = {
-    "epoch": epoch, "cell": cell, "tenant": tenant, "default_cell": default_cell, "moves": moves}
+    "epoch": epoch, "cell": cell, "tenant": tenant, "default_cell": default_cell, "moves": moves,
+    "deadlines": deadlines, "further_attempts": further_attempts, "further_class": further_class,
+    "logs": logs}
--- a/larchhall/rooms/broker.py
+++ b/larchhall/rooms/broker.py
@@ -57,7 +57,7 @@
     def _connections(self) -> Pools:
         config = self.config
         return CelledPools(self, streams=config.streams, connect_timeout=config.connect_timeout,
-                           conn_idle=config.conn_idle, unsent=self._unsent)
+                           conn_idle=config.conn_idle, unsent=self._unsent, may_go=self._may_go)
 
     def shares(self) -> dict[str, float]:
         return {cell.name: cell.part() for cell in self.map.cells}
@@ -105,7 +105,7 @@
 
     # --- requests ---
 
-    def _take(self, client: Client, stream: int, ask: Ask) -> OpenRequest:
+    def _take(self, client: Client, stream: int, ask: Ask, came: int = 0) -> OpenRequest:
         now = self.now()
         subject = self.map.subject(ask.customer or "", ask.route, ask.data_set)
         cell = self.moves.cell(subject, now)
@@ -115,7 +115,7 @@
                 cell, subject = place[0].cell, place[1]
         self.hall.next = subject, cell
         self.rates.add(subject, int(ask.weight_ms * MS))
-        return super()._take(client, stream, ask)
+        return super()._take(client, stream, ask, came)
 
     def _has_room(self, request: OpenRequest) -> bool:
         """Danger: one tenant's flood takes the memory and the descriptors of all: each cell has its part.
@@ -241,9 +241,9 @@
     """Connections to engines, each cell with its part of the descriptors."""
 
     def __init__(self, owner: CelledBroker, *, streams: int, connect_timeout: int, conn_idle: int,
-                 unsent: Callable[..., None]) -> None:
+                 unsent: Callable[..., None], may_go: Callable[..., bool]) -> None:
         super().__init__(owner, owner.log, streams=streams, connect_timeout=connect_timeout,
-                         conn_idle=conn_idle, unsent=unsent)
+                         conn_idle=conn_idle, unsent=unsent, may_go=may_go)
         self.broker = owner
         self.ledger = Ledger()
 
--- a/larchhall/rooms/node.py
+++ b/larchhall/rooms/node.py
@@ -6,7 +6,6 @@
 import json
 import os
 from collections.abc import Collection, Mapping
-from functools import partial
 from typing import Any
 from urllib.parse import unquote_to_bytes
 
@@ -16,8 +15,8 @@
 from ..cells.moves import Fleet, Move, Refused, read_move
 from ..cells.turns import Turns
 from ..config import Config
-from ..lifecycle.boot import SLOW_READER, Node
-from ..operators.script import Evaluated, OperatorFileError, evaluate
+from ..operators.node import FiledNode
+from ..operators.script import Evaluated, OperatorFileError
 from ..wire.client import ClientConnection
 from .broker import ANTEROOM, CelledBroker
 from .front import CelledConnection
@@ -28,21 +27,16 @@
 JSON = "application/json"
 
 
-class CelledNode(Node):
-    """``said``: what the operators' file says now; ``path``: where SIGHUP reads it again."""
-
+class CelledNode(FiledNode):
     def __init__(self, config: Config, said: Evaluated, path: str,
                  environ: Mapping[str, str] = os.environ) -> None:
         assert said.map is not None, "no cells"
-        self.path = path
         self._hold(said.map)
         self.me = f"{os.getpid()}-{os.urandom(4).hex()}"
-        self.pending: Evaluated | None = None
-        self.reading: asyncio.Future[Evaluated] | None = None
         self.queue: dict[CelledConnection, None] = {}  # connections whose turn has not come, in their order
         self.theirs: dict[str, dict[str, Any]] = {}    # what other processes told of cells, by their name
         self.stepped = 0
-        super().__init__(config, environ)
+        super().__init__(config, said, path, environ)
         # The rest of each tick is for the engines' answers.
         self.turns = Turns(self.celled.shares_with_anteroom(), TURNS_PART * self.config.settings.tick)
         self.operations.calls = self._call
@@ -147,7 +141,7 @@
         readers: dict[str, list[CelledConnection]] = {}
         for client in self.clients:
             assert isinstance(client, CelledConnection)
-            if client.paused_at and now - client.paused_at > SLOW_READER:
+            if client.paused_at and now - client.paused_at > self.broker.terms.slow_reader:
                 self._give_up_answers(client)
             elif (unread := client.unread()):
                 used[client.cell] = used.get(client.cell, 0) + unread
@@ -308,32 +302,7 @@
                 self.celled.frames.force(ANTEROOM, connection.booked)
         self._warn_of_strangers()
 
-    def reload(self) -> None:
-        """SIGHUP: the operators' file is evaluated beside the loop, then both files are taken or neither."""
-        if self.drain.begun_at:
-            return super().reload()
-        if self.reading is not None:
-            return
-        loop = asyncio.get_running_loop()
-        self.reading = loop.run_in_executor(None, partial(evaluate, self.path))
-        self.reading.add_done_callback(self._evaluated)
-
-    def _evaluated(self, future: asyncio.Future[Evaluated]) -> None:
-        self.reading = None
-        if future.cancelled():
-            return
-        try:
-            self.pending = self._newer(future.result())
-        except OperatorFileError as error:
-            self._turned_down(str(error))
-            return
-        except Exception as error:  # danger: no file, however odd, may end a process that serves
-            self._turned_down(f"{self.path}: {type(error).__name__}: {error}")
-            return
-        super().reload()
-        self.pending = None
-
-    def _newer(self, said: Evaluated) -> Evaluated:
+    def _check(self, said: Evaluated) -> Evaluated:
         """Danger: an old file put back by mistake would undo moves at this process and not at the others."""
         if said.map is None:
             raise OperatorFileError(f"{self.path}: cell: none is named, and the program was started with "
@@ -346,10 +315,10 @@
                                     "a changed map needs a higher one")
         return said
 
-    def _take(self, read: Config) -> None:
-        super()._take(read)
-        if self.pending is not None and self.pending.map is not None:
-            self._take_map(self.pending.map)
+    def _apply(self, said: Evaluated) -> None:
+        super()._apply(said)
+        if said.map is not None:
+            self._take_map(said.map)
 
     # --- operators' calls ---
 
--- a/larchhall/state/pools.py
+++ b/larchhall/state/pools.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from functools import partial
 
+from ..deadlines.gates import Hand
 from ..facade import EngineState, Result
 from ..wire.bus import Target
 from ..wire.engine import EngineConnection, Owner
@@ -43,9 +44,15 @@
         gets one of its own while this engine's part of the descriptors lasts. Answers come under the
         request's id, also twice: no other attempt of it uses a connection that carried one."""
         request = attempt.request
-        free = [c for c in self._usable(now) if len(c.open) < self.pools.streams
-                and request.trace not in c.open and c not in request.carriers]
+        usable = [c for c in self._usable(now) if c.streams() < self.pools.streams
+                  and request.trace not in c.open and c not in request.carriers]
+        # Backpressure: a connection whose socket takes no more gets nothing while there is another.
+        free = [c for c in usable if c.outbox.empty()] or [c for c in usable if not c.outbox.full()]
         best = min(free, key=lambda c: len(c.open), default=None)
+        if best is None and usable and not (len(self.connections) < self.pools.share(self)
+                                            and self.pools.room(self)):
+            self.pools.unsent(attempt, Result.NOT_SENT)  # nothing more fits before this engine's sockets
+            return
         if best is None or (best.open and len(self.connections) < self.pools.share(self)
                             and self.pools.room(self)):
             self.waiting.append(attempt)
@@ -69,7 +76,7 @@
             self.probes_waiting.remove(tag)
 
     def _put(self, connection: EngineConnection, attempt: Attempt, now: int) -> None:
-        attempt.connection = connection
+        attempt.connection, attempt.put = connection, now
         attempt.request.carriers.append(connection)
         connection.open[attempt.request.trace] = attempt
         connection.do(attempt, now)
@@ -112,9 +119,7 @@
             for tag in probes:
                 connection.probe(tag)
             for attempt in waiting:
-                if attempt.reported or attempt.request.client is None:
-                    self.pools.unsent(attempt, Result.NOT_SENT)
-                else:
+                if self.pools.may_go(attempt, Hand.CONNECTION):
                     self.send(attempt, now)
             return
         self.pools.log("engine", f"{self.target.uid} at {self.target.host}:{self.target.port}: {why}")
@@ -151,7 +156,7 @@
     def sweep(self, now: int) -> None:
         for connection in list(self.connections):
             connection.check(now)
-            if not connection.open and not connection.probes and (
+            if connection.quiet() and (
                     connection.retired or now - max(connection.used, connection.heard) > self.pools.idle):
                 connection.close()
             elif any(now > a.until + AFTER for a in connection.open.values()):
@@ -171,8 +176,8 @@
 
     def __init__(self, owner: Owner, log: Callable[[str, str], None], *, streams: int,
                  connect_timeout: int, conn_idle: int,
-                 unsent: Callable[[Attempt, Result], None]) -> None:
-        self.owner, self.log, self.unsent = owner, log, unsent
+                 unsent: Callable[[Attempt, Result], None], may_go: Callable[[Attempt, Hand], bool]) -> None:
+        self.owner, self.log, self.unsent, self.may_go = owner, log, unsent, may_go
         self.most = 0
         self.retune(streams, connect_timeout, conn_idle)
         self.by_number: dict[int, EnginePool] = {}
@@ -221,18 +226,13 @@
 
     def _idle(self) -> list[EngineConnection]:
         return [connection for pool in self.by_number.values() for connection in pool.connections
-                if not connection.open and not connection.probes and not connection.ending]
+                if connection.quiet() and not connection.ending]
 
     def lost(self, connection: EngineConnection) -> None:
         pool = self.by_number.get(connection.engine)
         if pool is not None and connection in pool.connections:
             pool.connections.remove(connection)
 
-    def count_written(self) -> None:
-        for pool in self.by_number.values():
-            for connection in pool.connections:
-                connection.count_written()
-
     def sweep(self, now: int) -> None:
         for number, pool in list(self.by_number.items()):
             pool.sweep(now)
--- a/larchhall/state/requests.py
+++ b/larchhall/state/requests.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
+from ..deadlines.scopes import Kind, Scope
 from .wheel import Timer
 
 if TYPE_CHECKING:
@@ -30,6 +31,10 @@
     client: Client | None  # None once it is answered or nobody waits
     stream: int
     deadline: int
+    customer: str = ""
+    scope: Scope = field(default_factory=lambda: Scope(Kind.REQUEST, None))
+    came: int = 0          # when its first byte was read
+    taken: int = 0
     level: int | None = None
     reserve: int = 0
     attempts: dict[int, Attempt] = field(default_factory=dict)  # those that have not been reported as ended
@@ -47,7 +52,10 @@
     until: int             # how long the broker waits for it
     timer: Timer | None = None
     connection: EngineConnection | None = None
-    written: bool = False  # it has left for the engine, so that it may have run
+    scope: Scope | None = None
+    written: bool = False  # a byte of it has left for the engine, so that it may have run
+    put: int = 0           # when it was given its connection
+    gone: int = 0          # when its last byte left
     reported: bool = False
     pages: list[bytes | None] = field(default_factory=list)
     missing: int = 0
--- a/larchhall/wire/client.py
+++ b/larchhall/wire/client.py
@@ -78,6 +78,7 @@
         self.recent: dict[str, None] = {}  # its last ids
         self.paused_at = 0  # since when the reader has been slow; 0: it is not
         self.timer: Timer | None = None
+        self.half_closed = False  # it asks nothing more, and waits for its answers
 
     # --- from the socket ---
 
@@ -144,6 +145,18 @@
         else:
             self.transport.resume_reading()
 
+    def eof_received(self) -> bool:
+        """A client that ends its side has left, unless operators say that it may still wait for answers."""
+        if self.front.broker.terms.half_close != "answer" or self.broken or self.parser.held():
+            return False
+        self.half_closed = True
+        self._end_if_answered()
+        return True
+
+    def _end_if_answered(self) -> None:
+        if self.half_closed and not self.open:
+            self.let_go()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.broken = True
         self.transport = None
@@ -206,7 +219,7 @@
             if len(self.open) >= MOST_OPEN:
                 raise Unusable(f"more than {MOST_OPEN} open requests on one connection")
             self.open[stream] = None
-            request = self.front.broker.submit(self, stream, ask)
+            request = self.front.broker.submit(self, stream, ask, self.begun)
         except Unusable as error:
             self.front.broker.log("client", f"unusable request: {error}")
             self.failed(stream, str(error))
@@ -256,6 +269,8 @@
         # Danger: idle time counted from the request ends the connection right under a late answer.
         self.used = self.front.broker.now()
         self._write(data)
+        if self.half_closed:
+            self._end_if_answered()
 
     def leave_off(self) -> None:
         """No new request on this connection."""
--- a/larchhall/wire/engine.py
+++ b/larchhall/wire/engine.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import re
+import socket
 from typing import Protocol, cast
 
+from ..deadlines.outbox import CONTROL, Frame, Outbox
+from ..deadlines.scopes import Kind, Outcome, Undoing
 from ..facade import Result
 from ..state.requests import Attempt
 from . import resp
 
 MS = 1_000_000
 MOST_PAGES = 1_024
+NOTSENT_LOWAT = getattr(socket, "TCP_NOTSENT_LOWAT", 25)
+UNSENT = 16_384        # bytes that may lie unsent in the system's buffer
 MOST_RESULT = 48_000   # bytes
 PART = 500 * MS        # ns in which an answer that has begun must be whole
 ROWS = re.compile(rb"(?:[^\t\n\0]*\t[^\t\n\0]*\t[^\t\n\0]*\n)*")  # three text columns and a line end each
@@ -34,7 +40,17 @@
 
     def lost(self, connection: EngineConnection, why: str, spoilt: bool) -> None: ...
 
-    def written(self, attempts: int) -> None: ...
+    def written(self, attempt: Attempt) -> None:
+        """Its last byte has left."""
+
+    def may_go(self, attempt: Attempt) -> bool:
+        """Asked before its first byte leaves. False: it is taken back, and never ran."""
+
+    def stuck(self, connection: EngineConnection) -> None:
+        """The socket takes no more for now: to be flushed again at the next tick."""
+
+    def undone(self, outcome: Outcome, count: int) -> None:
+        """What became of attempts that were undone."""
 
 
 class EngineConnection(asyncio.Protocol):
@@ -51,11 +67,67 @@
         self.retired = False  # takes no further sends
         self.ending = False   # closed by us, its loss not told yet
         self.closed = False
-        self.leaving = 0  # attempts handed to the transport that may not have left yet
+        self.fd = -1
+        self.outbox = Outbox(self._leave, self._begun, self._gone)
+        self.undoing = Undoing()
+
+    def quiet(self) -> bool:
+        """Nothing is open on it, and nothing of it is waited for."""
+        return not (self.open or self.probes or self.undoing.waiting)
+
+    def streams(self) -> int:
+        return len(self.open) + len(self.undoing.waiting)
+
+    # --- the outbox ---
+
+    def _leave(self, frame: Frame) -> tuple[bytes, ...] | None:
+        if not isinstance(frame.about, Attempt):
+            return frame.pieces
+        return self._pieces(frame.about, self.owner.now()) if self.owner.may_go(frame.about) else None
+
+    def _begun(self, about: object) -> None:
+        if isinstance(about, Attempt):
+            about.written = True
+            if about.scope is not None:
+                about.scope.left = True
+
+    def _gone(self, about: object) -> None:
+        if isinstance(about, Attempt):
+            self.owner.written(about)
+
+    def flush(self) -> None:
+        """Write until the socket takes no more. Danger: what the transport's own buffer holds can't be taken
+        back: it is given nothing; how much has left is known to the byte."""
+        outbox = self.outbox
+        # Danger: the number of a descriptor that has been closed is soon another connection's.
+        while self.fd >= 0 and self.transport is not None and not self.transport.is_closing() and (
+                pieces := outbox.next()):
+            try:
+                wrote = os.writev(self.fd, pieces)
+            except BlockingIOError:
+                wrote = 0
+            except OSError as error:
+                self._drop(str(error), spoilt=False)
+                return
+            if not outbox.wrote(wrote):
+                self.owner.stuck(self)
+                return
+
+    def take_back(self, attempt: Attempt) -> bool:
+        """True: no byte of it has left, and none will."""
+        if attempt.written or not self.outbox.take_back(attempt.request.trace):
+            return False
+        self.open.pop(attempt.request.trace, None)
+        return True
 
     # --- from the broker ---
 
     def do(self, attempt: Attempt, now: int) -> None:
+        request = attempt.request
+        self._put(now, attempt, request.trace, 1 if request.level is None else request.level,
+                  self._pieces(attempt, now))
+
+    def _pieces(self, attempt: Attempt, now: int) -> tuple[bytes, ...]:
         """Danger: the class and the statement go on as they came; only our own fields are written anew."""
         request = attempt.request
         fields: dict[str, object] = {"cls": request.route.decode(),
@@ -64,24 +136,36 @@
             fields["reserve"] = request.reserve
         if request.level is not None:
             fields["level"] = request.level
-        attempt.written = True
-        self.leaving += 1
-        self._write(now, b"do", request.trace, resp.write_pairs(fields), request.statement)
+        return resp.pieces(b"do", request.trace, resp.write_pairs(fields), request.statement)
 
     def bump(self, attempt: Attempt, level: int) -> None:
-        self._write(self.owner.now(), b"bump", attempt.request.trace, b"%d" % level)
+        if not self.outbox.raise_level(attempt.request.trace, level):
+            self._write(self.owner.now(), b"bump", attempt.request.trace, b"%d" % level)
 
     def undo(self, attempt: Attempt) -> None:
-        self._write(self.owner.now(), b"undo", attempt.request.trace)
+        """Its stream is held until it has been silent for long enough, or has answered all the same."""
+        now = self.owner.now()
+        self.open.pop(attempt.request.trace, None)
+        self.undoing.begin(attempt.request.trace, now)
+        self._write(now, b"undo", attempt.request.trace)
+
+    def forget(self, attempt: Attempt) -> None:
+        """No more pages of it are wanted."""
+        if self.open.pop(attempt.request.trace, None) is not None:
+            self._write(self.owner.now(), b"forget", attempt.request.trace)
 
     def probe(self, tag: bytes, word: bytes = b"top") -> None:
         self.probes.add(tag)
         self._write(self.owner.now(), word, tag)
 
     def _write(self, now: int, *parts: bytes) -> None:
+        self._put(now, None, None, CONTROL, resp.pieces(*parts))
+
+    def _put(self, now: int, about: object, key: bytes | None, level: int, pieces: tuple[bytes, ...]) -> None:
         self.used = now
         if self.transport is not None and not self.transport.is_closing():
-            self.transport.write(resp.encode(*parts))
+            if self.outbox.put(Frame(pieces, key, level, sum(map(len, pieces)), about)):
+                self.flush()
 
     def give_up(self, why: str) -> None:
         """End it with all that is open there; no fault of the engine's."""
@@ -89,20 +173,21 @@
 
     def close(self) -> None:
         self.retired = self.ending = True
+        self.fd = -1
         if self.transport is not None:
             self.transport.abort()
 
-    def count_written(self) -> None:
-        """Danger: an attempt that a full socket keeps back has not been sent, and may never be."""
-        if self.leaving and self.transport is not None and self.transport.get_write_buffer_size() == 0:
-            self.owner.written(self.leaving)
-            self.leaving = 0
-
     # --- from the socket ---
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.heard = self.used = self.owner.now()
+        held = transport.get_extra_info("socket")
+        self.fd = held.fileno()
+        try:  # what lies unsent in the system's buffer can't be taken back either
+            held.setsockopt(socket.IPPROTO_TCP, NOTSENT_LOWAT, UNSENT)
+        except OSError:
+            pass  # no system like that: its buffer is somewhat larger, and all else as it is
 
     def data_received(self, data: bytes) -> None:
         """Danger: a malformed answer leaves the place of the next one unknown: this connection ends, and
@@ -126,7 +211,11 @@
     def check(self, now: int) -> None:
         """Danger: an answer that stops short on an open connection swallows all answers behind it, and what
         is sent there later is never heard of again."""
-        self.count_written()
+        again, stopped = self.undoing.due(now)
+        for trace in again:
+            self._write(now, b"undo", trace)
+        if stopped:
+            self.owner.undone(Outcome.STOPPED, len(stopped))
         if self.parser.buffer and now - self.begun > PART:
             self._drop("an answer stopped short", spoilt=True)
 
@@ -136,8 +225,11 @@
     def _drop(self, why: str, spoilt: bool) -> None:
         if not self.closed:
             self.closed = self.retired = True
+            self.fd = -1
             self.parser.buffer.clear()
-            self.count_written()
+            self.outbox.abandon()
+            if (lost := self.undoing.lost()):
+                self.owner.undone(Outcome.LOST, lost)
             self.close()
             self.owner.lost(self, why, spoilt)
 
@@ -154,7 +246,11 @@
         elif word not in WORDS and word not in (b"served", b"rows"):
             raise resp.BadAnswer(f"unknown word {word[:40]!r}")
         elif (attempt := self.open.get(tag)) is None:
-            return  # a second copy, or more than was asked for: it belongs to nothing that is open here
+            # A second copy, or more than was asked for: it belongs to nothing that is open here. Or it
+            # crossed the `undo`.
+            if (outcome := self.undoing.answered(tag)) is not None:
+                self.owner.undone(outcome, 1)
+            return
         elif word == b"served":
             self._served(tag, attempt, fields, body, meter)
         elif word == b"rows":
@@ -187,9 +283,11 @@
         if attempt.missing == 0:
             del self.open[tag]
             self.owner.whole(attempt, meter)
-        elif self.transport is not None:
-            self.used = self.heard
-            self.transport.write(b"".join(resp.encode(b"page", tag, b"%d" % n) for n in range(1, chunks)))
+        else:
+            if attempt.scope is not None:
+                attempt.scope.open(Kind.PAGE, chunks)
+            for n in range(1, chunks):
+                self._write(self.heard, b"page", tag, b"%d" % n)
 
     def _page(self, tag: bytes, attempt: Attempt, fields: dict[str, str], body: bytes, meter: str) -> None:
         at = _count(fields.get("at", ""), "at")
--- a/larchhall/wire/resp.py
+++ b/larchhall/wire/resp.py
@@ -7,6 +7,7 @@
 MOST_BULK = 48_000  # the largest result, were it one page
 MOST_PARTS = 4
 MOST_LINE = 32
+SMALL = 4_096        # bytes up to which a copy costs less than a piece of its own
 
 
 class BadAnswer(Exception):
@@ -17,6 +18,15 @@
     return b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%b\r\n" % (len(p), p) for p in parts)
 
 
+def pieces(*parts: bytes) -> tuple[bytes, ...]:
+    """The same bytes with the last part in a piece of its own: a large statement is not copied."""
+    *most, last = parts
+    head = b"".join(b"$%d\r\n%b\r\n" % (len(p), p) for p in most)
+    if len(last) < SMALL:
+        return (b"*%d\r\n%b$%d\r\n%b\r\n" % (len(parts), head, len(last), last),)
+    return b"*%d\r\n%b$%d\r\n" % (len(parts), head, len(last)), last, b"\r\n"
+
+
 class RespParser:
     """Takes bytes as they come; gives whole arrays, also those before a malformed one."""
 
