Deadlines: scopes are made when they end, frames that leave whole are written at once

Profiled: a scope for each request and attempt (kept, hardly ever ended), a frame for each write, a call for each connection in the choice of one. Change: the tree of scopes is built when something is to be ended; an attempt before an empty outbox is written at once; one pass chooses the connection. Time-outs undo what runs where engines honour that.

--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from functools import partial
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING
 
 from .config import Config
 from .deadlines.further import Budget, attempt_time
@@ -208,8 +208,7 @@
             patience = max(1, patience - (now - came))
         self.count += 1
         request = OpenRequest(str(self.count), trace, ask.route.encode(), ask.statement, client,
-                              stream, now + patience, ask.customer or "", Scope(Kind.REQUEST, trace),
-                              came or now, now)
+                              stream, now + patience, ask.customer or "", came or now, now)
         self.concurrent += 1
         if not self._has_room(request):
             self.log("client", "no room for another statement: refused")
@@ -366,7 +365,6 @@
             return
         attempt = Attempt(request, order.attempt, order.engine, now, now + order.timeout)
         request.attempts[attempt.number] = attempt
-        attempt.scope = request.scope.open(Kind.ATTEMPT, attempt)
         if self.budget is not None and not self._in_budget(self.budget, request, attempt):
             self.tally.stopped[Hand.POOL, Stop.BUDGET] += 1
             self.later.append((attempt, Result.NOT_SENT))
@@ -420,28 +418,28 @@
     def _end_scope(self, request: OpenRequest) -> None:
         """Nobody waits for the request any more: nothing unsent of it leaves, what is out is undone where
         engines honour that, and no more pages are asked for."""
-        for act, scope in request.scope.end(self.config.settings.limits.cancel):
-            if act is not Act.ANSWER:
-                self._act(act, cast(Attempt, scope.name if scope.kind is Kind.ATTEMPT
-                                    else cast(Scope, scope.parent).name))
+        if request.attempts:
+            for act, scope in request.scope().end(self.config.settings.limits.cancel):
+                if isinstance(scope.name, Attempt):
+                    self._act(act, scope.name)
 
     def _act(self, act: Act, attempt: Attempt) -> None:
         connection = attempt.connection
-        if attempt.reported:
-            if act is Act.UNDO and connection is not None and not connection.closed \
-                    and connection.open.get(attempt.request.trace) is attempt:
-                self._undo(attempt, connection)  # timed out, and running all the same
+        if attempt.reported or attempt.ended or act is Act.LET_RUN:
             return
-        if act is Act.TAKE_BACK:
-            if connection is None or connection.take_back(attempt):
-                self.tally.stopped[Hand.POOL if connection is None else Hand.SOCKET, Stop.LEFT] += 1
-                self.later.append((attempt, Result.NOT_SENT))
+        if act is Act.TAKE_BACK and (connection is None or connection.take_back(attempt)):
+            self.tally.stopped[Hand.POOL if connection is None else Hand.SOCKET, Stop.LEFT] += 1
+            result = Result.NOT_SENT
         elif act is Act.UNDO and connection is not None:
             self._undo(attempt, connection)
-            self.later.append((attempt, Result.CANCELLED))
+            result = Result.CANCELLED
         elif act is Act.FORGET and connection is not None:
             connection.forget(attempt)  # it has run; only its pages are left
-            self.later.append((attempt, Result.SERVED))
+            result = Result.SERVED
+        else:
+            return
+        attempt.ended = True
+        self.later.append((attempt, result))
 
     def _undo(self, attempt: Attempt, connection: EngineConnection) -> None:
         connection.undo(attempt)
@@ -460,11 +458,10 @@
         request = self.requests.get(id)
         attempt = request.attempts.get(number) if request is not None else None
         # Danger: sites forbid it; an `undo` there is a broken rule.
-        if attempt is None or attempt.scope is None or not self.config.settings.limits.cancel:
+        if attempt is None or not self.config.settings.limits.cancel:
             return
-        for act, scope in attempt.scope.end(True):
-            if scope.kind is Kind.ATTEMPT:
-                self._act(act, attempt)
+        for act, _ in attempt.scope(Scope(Kind.REQUEST, request)).end(True):
+            self._act(act, attempt)
 
     def _probe(self, now: int, engine: int) -> None:
         self.count += 1
@@ -480,8 +477,11 @@
         self.probed(tag, Result.TIMEOUT, "")
 
     def _out_of_time(self, attempt: Attempt) -> None:
-        if not attempt.written and attempt.connection is not None:
-            attempt.connection.take_back(attempt)
+        connection = attempt.connection
+        if connection is not None and not attempt.written:
+            connection.take_back(attempt)
+        elif connection is not None and not attempt.reported and self.config.settings.limits.cancel:
+            self._undo(attempt, connection)  # what nobody waits for any more
         self._end(attempt, Result.TIMEOUT if attempt.written else Result.CONNECT_FAILED, None)
 
     def _unsent(self, attempt: Attempt, result: Result) -> None:
@@ -489,6 +489,9 @@
 
     # --- what connections to engines tell ---
 
+    def written_at_once(self) -> None:
+        self.figures.dispatches += 1
+
     def written(self, attempt: Attempt) -> None:
         self.figures.dispatches += 1
         attempt.gone = self.now()
@@ -504,8 +507,6 @@
                 self._time(self.stages, attempt)
             self._answering(request, SUCCESS).served(request.stream, body)
         attempt.pages = []
-        if attempt.scope is not None:
-            attempt.scope.close()
         self._end(attempt, Result.SERVED, self._load(meter))
         self._end_scope(request)
 
--- a/larchhall/deadlines/outbox.py
+++ b/larchhall/deadlines/outbox.py
@@ -17,8 +17,8 @@
 
 @dataclass(slots=True)
 class Frame:
-    """``key``: what it is known by, for being taken back; None: never. ``left``: bytes that are gone, or -1
-    once it has been taken back. ``about`` is handed to the outbox's three calls."""
+    """``key``: what it is known by, for being taken back; None: never. ``left``: bytes that are gone; -1:
+    it has been taken back. ``about`` is handed to the outbox's calls."""
 
     pieces: tuple[bytes, ...]
     key: bytes | None
@@ -26,6 +26,7 @@
     size: int
     about: object = None
     left: int = 0
+    begun: bool = False  # bytes before these pieces have left already
 
 
 @dataclass(slots=True)
@@ -118,7 +119,7 @@
         has, the frame goes back to its place, and may still be taken back."""
         frame = self.current
         assert frame is not None, "nothing was given out"
-        if frame.left == 0:
+        if frame.left == 0 and not frame.begun:
             if size == 0:
                 self.current = None
                 self.before -= 1
--- a/larchhall/state/pools.py
+++ b/larchhall/state/pools.py
@@ -44,12 +44,19 @@
         gets one of its own while this engine's part of the descriptors lasts. Answers come under the
         request's id, also twice: no other attempt of it uses a connection that carried one."""
         request = attempt.request
-        usable = [c for c in self._usable(now) if c.streams() < self.pools.streams
-                  and request.trace not in c.open and c not in request.carriers]
-        # Backpressure: a connection whose socket takes no more gets nothing while there is another.
-        free = [c for c in usable if c.outbox.empty()] or [c for c in usable if not c.outbox.full()]
-        best = min(free, key=lambda c: len(c.open), default=None)
-        if best is None and usable and not (len(self.connections) < self.pools.share(self)
+        best, least, stuck, full = None, self.pools.streams, None, False
+        for c in self._usable(now):  # on every request's path: one pass, nothing built
+            open = len(c.open) + len(c.undone)
+            if open >= self.pools.streams or request.trace in c.open or c in request.carriers:
+                continue
+            if not c.outbox.empty():
+                # Backpressure: a connection whose socket takes no more gets nothing while there is another.
+                full = full or c.outbox.full()
+                stuck = stuck if c.outbox.full() else c
+            elif open < least:
+                best, least = c, open
+        best = best or stuck
+        if best is None and full and not (len(self.connections) < self.pools.share(self)
                                             and self.pools.room(self)):
             self.pools.unsent(attempt, Result.NOT_SENT)  # nothing more fits before this engine's sockets
             return
--- a/larchhall/state/requests.py
+++ b/larchhall/state/requests.py
@@ -32,7 +32,6 @@
     stream: int
     deadline: int
     customer: str = ""
-    scope: Scope = field(default_factory=lambda: Scope(Kind.REQUEST, None))
     came: int = 0          # when its first byte was read
     taken: int = 0
     level: int | None = None
@@ -41,6 +40,15 @@
     carriers: list[EngineConnection] = field(default_factory=list)  # that have carried an attempt of it
 
 
+    def scope(self) -> Scope:
+        """All that is under way for it. Made when it is to be ended: most requests end by themselves."""
+        made = Scope(Kind.REQUEST, self)
+        for attempt in self.attempts.values():
+            if not attempt.ended:
+                attempt.scope(made)
+        return made
+
+
 @dataclass(slots=True)
 class Attempt:
     """One send. It outlives its report: an answer that comes later is known by it, and dropped."""
@@ -52,7 +60,7 @@
     until: int             # how long the broker waits for it
     timer: Timer | None = None
     connection: EngineConnection | None = None
-    scope: Scope | None = None
+    ended: bool = False    # taken back, undone or given up by us; its report follows
     written: bool = False  # a byte of it has left for the engine, so that it may have run
     put: int = 0           # when it was given its connection
     gone: int = 0          # when its last byte left
@@ -61,6 +69,14 @@
     missing: int = 0
     answered: int = 0      # when page 0 came
 
+    def scope(self, parent: Scope) -> Scope:
+        """It, and what belongs to it, below the request's scope."""
+        made = parent.open(Kind.ATTEMPT, self)
+        made.left = self.written
+        if self.missing:
+            made.open(Kind.PAGE, self)
+        return made
+
     def wanted(self) -> bool:
         """Somebody still waits for its result."""
         return not self.reported and self.request.client is not None
--- a/larchhall/wire/engine.py
+++ b/larchhall/wire/engine.py
@@ -9,7 +9,7 @@
 from typing import Protocol, cast
 
 from ..deadlines.outbox import CONTROL, Frame, Outbox
-from ..deadlines.scopes import Kind, Outcome, Undoing
+from ..deadlines.scopes import Outcome, Undoing
 from ..facade import Result
 from ..state.requests import Attempt
 from . import resp
@@ -43,6 +43,9 @@
     def written(self, attempt: Attempt) -> None:
         """Its last byte has left."""
 
+    def written_at_once(self) -> None:
+        """An attempt has left whole as it was put here."""
+
     def may_go(self, attempt: Attempt) -> bool:
         """Asked before its first byte leaves. False: it is taken back, and never ran."""
 
@@ -70,13 +73,11 @@
         self.fd = -1
         self.outbox = Outbox(self._leave, self._begun, self._gone)
         self.undoing = Undoing()
+        self.undone = self.undoing.waiting
 
     def quiet(self) -> bool:
         """Nothing is open on it, and nothing of it is waited for."""
-        return not (self.open or self.probes or self.undoing.waiting)
-
-    def streams(self) -> int:
-        return len(self.open) + len(self.undoing.waiting)
+        return not (self.open or self.probes or self.undone)
 
     # --- the outbox ---
 
@@ -88,8 +89,6 @@
     def _begun(self, about: object) -> None:
         if isinstance(about, Attempt):
             about.written = True
-            if about.scope is not None:
-                about.scope.left = True
 
     def _gone(self, about: object) -> None:
         if isinstance(about, Attempt):
@@ -123,9 +122,23 @@
     # --- from the broker ---
 
     def do(self, attempt: Attempt, now: int) -> None:
-        request = attempt.request
-        self._put(now, attempt, request.trace, 1 if request.level is None else request.level,
-                  self._pieces(attempt, now))
+        request, pieces = attempt.request, self._pieces(attempt, now)
+        if len(pieces) == 1 and self.fd >= 0 and self.outbox.empty() and self.transport is not None \
+                and not self.transport.is_closing():
+            # The ordinary path: it has just been decided on, and leaves whole.
+            try:
+                wrote = os.write(self.fd, pieces[0])
+            except OSError:
+                wrote = 0  # told, or tried again, below
+            if wrote:
+                self._begun(attempt)
+            if wrote == len(pieces[0]):
+                self.used = attempt.gone = now
+                self.owner.written_at_once()
+                return
+            pieces = (pieces[0][wrote:],)
+        self._put(now, attempt, request.trace, 1 if request.level is None else request.level, pieces,
+                  attempt.written)
 
     def _pieces(self, attempt: Attempt, now: int) -> tuple[bytes, ...]:
         """Danger: the class and the statement go on as they came; only our own fields are written anew."""
@@ -161,10 +174,11 @@
     def _write(self, now: int, *parts: bytes) -> None:
         self._put(now, None, None, CONTROL, resp.pieces(*parts))
 
-    def _put(self, now: int, about: object, key: bytes | None, level: int, pieces: tuple[bytes, ...]) -> None:
+    def _put(self, now: int, about: object, key: bytes | None, level: int, pieces: tuple[bytes, ...],
+             begun: bool = False) -> None:
         self.used = now
         if self.transport is not None and not self.transport.is_closing():
-            if self.outbox.put(Frame(pieces, key, level, sum(map(len, pieces)), about)):
+            if self.outbox.put(Frame(pieces, key, level, sum(map(len, pieces)), about, begun=begun)):
                 self.flush()
 
     def give_up(self, why: str) -> None:
@@ -284,8 +298,6 @@
             del self.open[tag]
             self.owner.whole(attempt, meter)
         else:
-            if attempt.scope is not None:
-                attempt.scope.open(Kind.PAGE, chunks)
             for n in range(1, chunks):
                 self._write(self.heard, b"page", tag, b"%d" % n)
 
