--- a/larchhall/state/pools.py
+++ b/larchhall/state/pools.py
@@ -46,15 +46,17 @@
         request = attempt.request
         best, least, stuck, full = None, self.pools.streams, None, False
         for c in self._usable(now):  # on every request's path: one pass, nothing built
-            open = len(c.open) + len(c.undone)
+            open = len(c.open) + len(c.undone) if c.undone else len(c.open)
             if open >= self.pools.streams or request.trace in c.open or c in request.carriers:
                 continue
-            if not c.outbox.empty():
+            if c.jammed:
                 # Backpressure: a connection whose socket takes no more gets nothing while there is another.
                 full = full or c.outbox.full()
                 stuck = stuck if c.outbox.full() else c
             elif open < least:
                 best, least = c, open
+                if not open:
+                    break
         best = best or stuck
         if best is None and full and not (len(self.connections) < self.pools.share(self)
                                             and self.pools.room(self)):
--- a/larchhall/wire/engine.py
+++ b/larchhall/wire/engine.py
@@ -74,6 +74,7 @@
         self.outbox = Outbox(self._leave, self._begun, self._gone)
         self.undoing = Undoing()
         self.undone = self.undoing.waiting
+        self.jammed = False  # its socket took no more, and frames wait
 
     def quiet(self) -> bool:
         """Nothing is open on it, and nothing of it is waited for."""
@@ -109,8 +110,10 @@
                 self._drop(str(error), spoilt=False)
                 return
             if not outbox.wrote(wrote):
+                self.jammed = True
                 self.owner.stuck(self)
                 return
+        self.jammed = False
 
     def take_back(self, attempt: Attempt) -> bool:
         """True: no byte of it has left, and none will."""
@@ -123,7 +126,7 @@
 
     def do(self, attempt: Attempt, now: int) -> None:
         request, pieces = attempt.request, self._pieces(attempt, now)
-        if len(pieces) == 1 and self.fd >= 0 and self.outbox.empty() and self.transport is not None \
+        if len(pieces) == 1 and self.fd >= 0 and not self.jammed and self.transport is not None \
                 and not self.transport.is_closing():
             # The ordinary path: it has just been decided on, and leaves whole.
             try:
