--- a/tests/test_deadlines_sockets.py
+++ b/tests/test_deadlines_sockets.py
@@ -515,8 +515,8 @@
 async def test_time_may_count_from_the_first_byte() -> None:
     engine = Engine(lambda *_: None)
     made = make_config(target("s-1", await engine.start()))
-    for count_from in ("first", "last"):
-        async with running(made, make=filed(deadlines=Deadlines(count_from=count_from))) as rig:  # type: ignore[arg-type]
+    for terms in (Deadlines(count_from="first"), Deadlines(count_from="last")):
+        async with running(made, make=filed(deadlines=terms)) as rig:
             client = await rig.client()
             fields = {"route": "lookup", "trace": trace(7), "patience": "3000", "customer": "acme",
                       "weight": "1.0"}
@@ -527,6 +527,6 @@
             await until(lambda: rig.node.broker.requests)  # noqa: B023
             (request,) = rig.node.broker.requests.values()
             taken = request.deadline - request.taken
-            assert (taken < 2_750 * MS) == (count_from == "first") and taken <= 2_990 * MS
+            assert (taken < 2_750 * MS) == (terms.count_from == "first") and taken <= 2_990 * MS
             client.writer.transport.abort()
             await until(lambda: not rig.node.broker.concurrent)  # noqa: B023
