ClickHouse interface: a relay that knows what may still be repeated, what is held, who waits

Need: results far larger than an answer of today's are to pass through with bounded memory; until their first byte has gone a repeat is allowed, after it a fault must be shown. Measured: 6 tests, one a property over any order of data, faults, ends and departures: one end, memory within its marks.

--- a/tests/test_clickhouse_pure.py
+++ b/tests/test_clickhouse_pure.py
@@ -11,6 +11,7 @@
 
 from larchhall.clickhouse import sessions as sessions_
 from larchhall.clickhouse.errors import HEADER, SESSION_NOT_FOUND, TOO_MANY_SIMULTANEOUS_QUERIES, Fault
+from larchhall.clickhouse.relay import Act, Fate, Head, Relay, State
 from larchhall.clickhouse.request import read as read_head
 from larchhall.clickhouse.request import shown, statement
 from larchhall.clickhouse.rules import BadRule, Rule, Rules, Seen
@@ -208,3 +209,90 @@
 def test_statements_are_read_no_further_than_they_decide() -> None:
     assert read("SELECT 1 " + "x" * 1_000_000).does is Does.READ
     assert Statement("SELECT", Does.READ) == read("SELECT 1")
+
+
+# --- results on their way ---
+
+
+def kinds(relay: Relay) -> list[Act]:
+    return [act for act, _ in relay.take()]
+
+
+def test_until_a_byte_has_gone_another_attempt_may_take_the_place() -> None:
+    relay = Relay(wait_end=True)
+    relay.begin(Head(200))
+    relay.data(b"half")
+    assert relay.fault() is Fate.AGAIN and not relay.take() and relay.state is State.WAITING
+    relay.begin(Head(200))
+    relay.data(b"whole")
+    assert relay.end() and relay.take() == [(Act.HEAD, b""), (Act.BODY, b"whole"), (Act.END, b"")]
+    assert relay.fault() is Fate.OVER
+
+
+def test_once_it_flows_a_fault_is_shown_and_never_repeated() -> None:
+    relay = Relay()
+    relay.begin(Head(200))
+    relay.data(b"a")
+    assert relay.fault() is Fate.FAILED and kinds(relay) == [Act.HEAD, Act.BODY, Act.TEAR]
+    with pytest.raises(AssertionError):
+        relay.again()
+    relay.data(b"b")
+    assert not relay.end() and not relay.take()
+
+
+def test_a_result_that_says_itself_that_it_broke_is_no_result() -> None:
+    for wait_end, fate in ((True, State.WAITING), (False, State.BROKEN)):
+        relay = Relay(wait_end=wait_end)
+        relay.begin(Head(200))
+        relay.data(b"1\t2\n__exce")
+        relay.data(b"ption__\nCode: 241\n")
+        assert not relay.end() and relay.state is fate
+    held = Relay()
+    held.begin(Head(200))
+    held.data(b"a row with __exception__ in it\n")
+    assert held.end()
+
+
+def test_what_is_held_is_bounded_and_then_flows() -> None:
+    relay = Relay(wait_end=True, most_held=10)
+    relay.begin(Head(200))
+    relay.data(b"x" * 8)
+    assert not relay.take()
+    relay.data(b"x" * 8)
+    assert kinds(relay) == [Act.HEAD, Act.BODY, Act.BODY] and relay.overflowed and relay.held_bytes == 0
+
+
+def test_an_error_of_the_engine_is_not_shown_while_another_may_do_better() -> None:
+    relay = Relay()
+    relay.begin(Head(500))
+    relay.data(b"Code: 241")
+    assert not relay.take() and relay.fault() is Fate.AGAIN
+    assert relay.give_up() is Fate.FAILED and kinds(relay) == [Act.ERROR]
+
+
+@given(st.lists(st.tuples(st.sampled_from(["data", "gone", "fault", "end", "again", "left"]),
+                          st.integers(0, 400_000)), max_size=40), st.booleans())
+def test_memory_is_bounded_and_the_client_gets_one_end(steps: list[tuple[str, int]], wait_end: bool) -> None:
+    relay, sent, ends, gone = Relay(wait_end=wait_end, most_held=100_000), 0, 0, False
+    relay.begin(Head(200))
+    for word, number in steps:
+        if word == "data" and not relay.paused:
+            relay.data(b"x" * number)
+        elif word == "gone":
+            relay.gone(number)
+        elif word == "fault":
+            relay.fault()
+        elif word == "end":
+            relay.end()
+        elif word == "left":
+            relay.left()
+            gone = True
+        if relay.state is State.WAITING:
+            relay.begin(Head(200))
+        for act, data in relay.take():
+            assert not gone or act is Act.RESUME
+            assert not ends or act in (Act.RESUME, Act.PAUSE)
+            sent += len(data)
+            ends += act in (Act.END, Act.TEAR, Act.ERROR)
+        assert relay.held_bytes <= 100_000 and relay.unread <= 262_144 + 800_000
+    assert ends <= 1 and sent <= relay.passed
