What has not left when all is closed out is taken back, and refused

Need: at the end of a drain an unsafe request whose frame still lay in the outbox was answered failed, although it never ran. Change: close_out_all takes back what is unsent and sends nothing more, then the module closes out the rest.

--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -117,6 +117,7 @@
         self.probing: dict[bytes, tuple[int, int]] = {}
         self.blocked: dict[EngineConnection, None] = {}  # their sockets took no more
         self.going: list[tuple[Client, str, int]] = []  # not gone yet, where stages are told
+        self.closing = False  # nothing more is sent
         self.tally = Tally()
         self.terms = Deadlines()
         self.stages: Stages | None = None  # where operators want to see, or to learn from, each stage
@@ -307,6 +308,9 @@
             blocked, self.blocked = self.blocked, {}
             for connection in blocked:
                 connection.flush()
+        self._end_later()
+
+    def _end_later(self) -> None:
         while self.later:  # an end may order what ends at once
             later, self.later = self.later, []
             for attempt, result in later:
@@ -323,7 +327,14 @@
         self.engines.let_go()
 
     def close_out_all(self) -> None:
-        """The process is about to end: what is open gets the answer that the rules allow."""
+        """The process is about to end: what is open gets the answer that the rules allow. Danger: what has
+        not left would be answered as if it may have run: it is taken back first, and goes nowhere else."""
+        self.closing = True
+        for attempt in [a for r in self.requests.values() for a in r.attempts.values()]:
+            connection = attempt.connection
+            if not attempt.written and (connection is None or connection.take_back(attempt)):
+                self._end(attempt, Result.NOT_SENT, None)
+        self._end_later()
         self._report(Closing())
 
     # --- orders ---
@@ -370,6 +381,9 @@
             return
         attempt = Attempt(request, order.attempt, order.engine, now, now + order.timeout)
         request.attempts[attempt.number] = attempt
+        if self.closing:
+            self.later.append((attempt, Result.NOT_SENT))
+            return
         if self.budget is not None and not self._in_budget(self.budget, request, attempt):
             self.tally.stopped[Hand.POOL, Stop.BUDGET] += 1
             self.later.append((attempt, Result.NOT_SENT))
--- a/tests/test_deadlines_sockets.py
+++ b/tests/test_deadlines_sockets.py
@@ -407,6 +407,24 @@
     slow.close()
 
 
+@on_uvloop
+async def test_what_has_not_left_when_all_is_closed_out_is_refused() -> None:
+    slow, other = Slow(), Engine()
+    spare = await other.start()
+    async with running(make_config(target("s-1", slow.port))) as rig:
+        client = await jammed(rig)
+        client.ask(2, trace=trace(2), route="till-load", weight="1.0")
+        await until(lambda: held(rig)[0].outbox.keyed)
+        rig.node.broker.news(parse_event(event(2, target("s-2", spare))))
+        rig.node.broker.close_out_all()
+        answers = {}
+        for _ in range(2):
+            stream, code, _, _ = await client.answer()
+            answers[stream] = code
+        assert answers == {1: frames.FAILED, 2: frames.REFUSED} and not other.words(b"do")
+    slow.close()
+
+
 @on_uvloop
 async def test_a_successor_takes_over_while_frames_wait_in_the_outbox(tmp_path: Path) -> None:
     slow = Slow()
