Each of many brokers uses part of the engines, takes turns on cold ones, shares connections

Memory, descriptors, processor time, probes (none is sent): far from their limits.

Change: - _choose_near: where a share is under one query, a broker uses a quarter of the engines, 10 at the least, and one more for each that is held to be out; places are spread evenly by `me`, so each engine is used by as many. - _cold_allows: in its turn a broker has the whole budget of a cold engine for one window of the contract, and the window after it is nobody's; turns follow the clock and the engine's number, and are not in step. - _measure_pool: suspect, draining and cold engines are in none of the pool's books. - Copies and slowdowns allow for a cold engine's lower speed. - settings.charges.handshake is read; where it is over 1% of a request, attempts share connections.

--- a/larchhall/books.py
+++ b/larchhall/books.py
@@ -64,9 +64,6 @@
     taken: int
     memory_mb: float
     sends: int = 0
-    looked: bool = False
-    looks: list[int] = field(default_factory=list)  # engines probed for it and not heard of yet
-    seen: list[int] = field(default_factory=list)  # engines that answered those probes
     out: dict[int, Attempt] = field(default_factory=dict)
     tried: list[int] = field(default_factory=list)
     may_have_run: list[Attempt] = field(default_factory=list)
--- a/larchhall/brain.py
+++ b/larchhall/brain.py
@@ -42,14 +42,13 @@
 APART = 0.1             # weight of an engine on the wrong side of that parting
 COLD_SET = 0.5          # weight of an engine that does not keep the data set warm, where no class is a load
 BESIDE_LOAD = 0.05      # weight where our own load holds the data set that the query reads
-LOOKS = 3               # engines probed before a send, where our share is under one query
-LOOK_SHARE = 0.6        # probes for each arrival at the most: bounds their price and load by construction
-LOOK_WAIT = 0.1         # of the shortest aim: how long the answers are waited for
-LOOK_WORTH = 0.5        # of the dearest class's worth: classes below it go by what is known
 # --- Estimates, health, attempts and guards ---
 CALM_LOAD = 1.0         # threads a core; only work sent below this teaches what a query costs by itself
 BIAS_QUANTILE = 0.3     # of (latency x threads / estimate): below the middle, since contention only adds
 BIAS_STEP = 0.05        # log step of that quantile; the first answers move it faster
+NEAR = 10               # engines that one of many gateways uses: few, so that it meets each often,
+NEAR_PART = 1 / 4       # but this part of them all, so that its work is spread
+GOLDEN = (5 ** 0.5 - 1) / 2  # multiples of it, less their whole parts, lie evenly from 0 to 1
 LEARN = 0.1             # weight of one answer in an engine's mean slowdown
 BEST_DRIFT = 0.01       # share of the gap by which an engine's best slowdown rises at each period
 ERROR_LEARN = 0.2       # weight of one outcome in an engine's failure share
@@ -60,7 +59,7 @@
 OVERDUE = 6.0           # times its expected time: an attempt held to have a bad plan
 GRANT_MARGIN = 1.2      # times the estimated memory, where grants are heeded; more makes others spill
 COLD_SAFETY = 3.0       # estimates may be this far too low: divides the budget of a cold engine
-COLD_PART = 1 / 8       # of a cold engine's whole budget: the most that one of many gateways sends it
+TURN_SAFETY = 1.5       # the same for a whole turn of one of many gateways: errors of its queries even out
 OVER_SHARE_ROOM = 0.25  # of the bound, under pressure, for a tenant's traffic beyond its share
 YIELD_LEARN = 0.02      # weight of one arrival in the mean worth and work
 TENANT_BURST = 2.0      # seconds of its share that a tenant may save up
@@ -173,12 +172,11 @@
     threads_since_report: int = 0
     cold_until: int = 0
     cold_sends: SlidingSum
-    cold_luck: float = 1.0
-    cold_redraw: int = 0
     last_sign: int = 0
     beside: api.Outstanding = api.Outstanding(0, 0, 0)  # of other processes of this gateway; booked as ours
     born: int = 0                # what was sent before belongs to another process
     suspect: bool = False
+    counted: bool = False        # in the pool's books
     next_trial: int = 0
 
     def busy(self) -> float:
@@ -209,9 +207,9 @@
         self.engines: dict[int, Engine] = {}
         self.banned: set[int] = set()
         self.taking = 1  # processes of this gateway that take requests
-        self.looking: dict[str, Request] = {}
-        self.look_tokens, self.mean_worth, self.mean_work = 0.0, 1e-9, 1.0
+        self.mean_worth, self.mean_work = 1e-9, 1.0
         self.pool = Pool(held=FadingMean(MEMORY, now))
+        self.near, self.cold = list[Engine](), list[Engine]()  # that we use; that we use in our turns
         self.thin = False  # our share of an engine is under one query: the pool's loop decides as well
         self.requests: dict[str, Request] = {}
         self.queues: dict[str, deque[Request]] = {}
@@ -223,8 +221,7 @@
         self.taken, self.further = (SlidingSum(settings.contract.budget_window) for _ in range(2))
         self.period_arrivals, self.period_refusals, self.refused_share = 0, 0, 0.0
         self.timers: dict[int, tuple[Callable[..., None], tuple[Any, ...]]] = {}
-        self.next_token = 0
-        self.period_due, self.stalled = now + PERIOD, -1
+        self.next_token, self.period_due, self.stalled = 0, now + PERIOD, -1
         self._retune(now, api.Retuned(settings))
         self.actions: list[api.Action] = []
         self.handlers: dict[type, Callable[[int, Any], None]] = {
@@ -246,7 +243,7 @@
         self.taken.span = self.further.span = self.contract.budget_window
         for engine in self.engines.values():
             self._measure(engine)
-        self._measure_pool()
+        self._measure_pool(now)
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         if type(event) not in self.handlers:
@@ -272,7 +269,6 @@
         if (view := self.views.get(event.class_name)) is None:
             raise ValueError(f"class_name: {event.class_name!r} is not in the settings")
         self.period_arrivals += 1
-        self.look_tokens = min(LOOKS / LOOK_SHARE, self.look_tokens + LOOK_SHARE)
         self.taken.add(now)
         # Danger: refused traffic comes back and takes the tokens of new requests: a marked retry gets none.
         share = self.shares.get(event.tenant or "")
@@ -301,12 +297,10 @@
 
     def _admit(self, now: int, request: Request) -> None:
         """The ordinary path: a weighted draw among the engines where the query fits, else refusal at once."""
-        able = [e for e in self.engines.values() if self._may_send(now, request, e)]
+        able = [e for e in self._within_reach(now) if self._may_send(now, request, e)]
         in_time = request.sends > 0 or request.deadline - now > request.run_time()  # else it is all waste
         fit = [e for e in able if in_time and self._fits(now, request, e)]
-        if fit and self._look(now, request, fit):
-            return
-        fit = [e for e in fit if e.entry.engine in request.seen] or fit
+        fit = [e for e in fit if not (e.counted or e.suspect)] or fit  # cold: what our turn leaves is lost
         if not fit or not self._send(now, request, self._draw(request, fit)):
             self._finish(now, request)
 
@@ -317,44 +311,18 @@
         room = request.spec.worth / request.work * self.mean_work / self.mean_worth
         room *= OVER_SHARE_ROOM if request.over_share else 1.0
         return (engine.fits(now, size, threads, room)
-                and (not self.thin or self.pool.fits(now, size, threads, room)))
-
-    def _look(self, now: int, request: Request, engines: list[Engine]) -> bool:
-        """Probe a few engines and wait. Danger: with many gateways the last reports hide what others sent."""
-        if (request.looked or not self.thin or not self.limits.probes or len(engines) <= LOOKS
-                or self.look_tokens < LOOKS or all(e.report is None for e in engines)
-                or request.spec.worth < LOOK_WORTH * max(c.worth for c in self.settings.classes)):
-            return False
-        self.look_tokens, request.looked = self.look_tokens - LOOKS, True
-        for _ in range(LOOKS):
-            engine = self._draw(request, [e for e in engines if e.entry.engine not in request.looks])
-            request.looks.append(engine.entry.engine)
-            self.actions.append(api.Probe(engine.entry.engine))
-        self.looking[request.id] = request
-        self._timer(now + int(LOOK_WAIT * self.shortest_aim), self._decide, request)
-        return True
+                and (not self.thin or not engine.counted or self.pool.fits(now, size, threads, room)))
 
     def _seen(self, now: int, event: api.ProbeResult) -> None:
-        if (engine := self.engines.get(event.engine)) is None:
-            return
-        if event.report is not None:
+        if (engine := self.engines.get(event.engine)) is not None and event.report is not None:
             engine.report, engine.threads_since_report = event.report, 0
-        for request in [r for r in self.looking.values() if event.engine in r.looks]:
-            request.looks.remove(event.engine)
-            request.seen += [event.engine] if event.result is Result.SERVED else []
-            if not request.looks:
-                self._decide(now, request)
-
-    def _decide(self, now: int, request: Request) -> None:
-        if self.looking.pop(request.id, None) is not None and not request.done:
-            self._admit(now, request)
 
     def _draw(self, request: Request, engines: list[Engine]) -> Engine:
         return self.random.choices(engines, [self._weight(request, e) for e in engines])[0]
 
     def _weight(self, request: Request, engine: Engine) -> float:
-        groups = (engine.entry.zone, engine.entry.kind) if self.thin else ()
-        failing = max(engine.failures, *(self.groups[group] for group in groups), 0.0)
+        groups = (self.groups[engine.entry.zone], self.groups[engine.entry.kind]) if self.thin else ()
+        failing = max(engine.failures, *groups, 0.0)
         weight = engine.cores * ((1 - failing) / (IDLE_LOAD + engine.load())) ** SHARPNESS
         weight /= max(1.0, engine.slowdown / engine.best) * engine.slowdown
         if engine.entry.zone != self.settings.zone:
@@ -430,19 +398,27 @@
         return self.contract.budget_window <= 0 or self.further.at(now) + 1 <= allowed
 
     def _cold_allows(self, now: int, engine: Engine, work: int) -> bool:
-        """Rule 4. Danger: a fresh engine falls over and stays down. Our share of its budget, any window."""
+        """Rule 4. Danger: a fresh engine falls over and stays down. Our share of its budget, any window.
+        Danger: with many gateways a share is under one query and a fresh room idles: each in its turn has the
+        whole, and the time after it is nobody's: no window of the contract holds what two have sent."""
         rules = self.contract
         if now >= engine.cold_until or rules.fall <= 0:
             return True
-        budget = rules.cold_from * engine.cores * rules.fall * rules.fall_multiple / COLD_SAFETY
-        # Danger: with many gateways a share is under one query and a fresh room idles: shares are drawn.
-        mine = budget / self.settings.fleet_size
-        if self.thin:
-            if now >= engine.cold_redraw:
-                engine.cold_luck, engine.cold_redraw = 1 / (1 - self.random.random()), now + rules.fall
-            mine = min(budget * COLD_PART, mine * engine.cold_luck)
+        budget = engine.cores * rules.fall * rules.fall_multiple
+        mine = (rules.cold_from * budget / COLD_SAFETY / self.settings.fleet_size if not self.thin
+                else self._our_turn(now, engine) * self._warmth(now, engine) * budget / TURN_SAFETY)
         return engine.cold_sends.at(now) + engine.beside.cold + work <= mine
 
+    def _our_turn(self, now: int, engine: Engine) -> bool:
+        turn, into = divmod(now + engine.entry.engine, 2 * self.contract.fall)  # not all engines in step
+        return (into < self.contract.fall
+                and (turn + engine.entry.engine - self.settings.me) % self.settings.fleet_size == 0)
+
+    def _warmth(self, now: int, engine: Engine) -> float:
+        """The part of its capacity that an engine has; how it rises is not told: late, to be safe."""
+        past = 1 - max(0, engine.cold_until - now) / max(1, self.contract.cold)
+        return self.contract.cold_from + (1 - self.contract.cold_from) * max(0.0, past) ** 2
+
     def _healthy(self, now: int, request: Request, engine: Engine) -> bool:
         """An engine held to be out gets one safe trial at a time, unless every engine is held to be out.
         Danger: a full engine where we have nothing out admits, turns away and is asked again without end."""
@@ -483,7 +459,8 @@
         if now < engine.cold_until:
             engine.cold_sends.add(now, request.work)
         if self.limits.second_copies and request.spec.effect is Effect.SAFE and not attempt.number:
-            self._timer(now + int(COPY * request.view.expected_time(request.work)), self._copy, request)
+            expected = request.view.expected_time(request.work) / self._warmth(now, engine)
+            self._timer(now + int(COPY * expected), self._copy, request)
         if self.limits.cancel:
             wait = OVERDUE * 2 ** attempt.number * request.run_time() * max(1.0, engine.slowdown)
             self._timer(now + max(int(wait), self.shortest_aim), self._review, request, attempt.number)
@@ -502,9 +479,8 @@
             self._further(now, request)
 
     def _note(self, now: int, event: api.AttemptNote) -> None:
-        """A sign of life. Engines of this kind tell no progress that could be heeded."""
         if (engine := self.engines.get(event.engine)) is not None:
-            engine.last_sign = now
+            engine.last_sign = now  # a sign of life; no progress is told that could be heeded
 
     def _outcome(self, now: int, event: api.AttemptOutcome) -> None:
         engine, request = self.engines.get(event.engine), self.requests.get(event.request)
@@ -528,7 +504,7 @@
         self._settle(now, request)
 
     def _book(self, now: int, engine: Engine, request: Request, size: int, sign: int) -> None:
-        for loop in (engine, self.pool):
+        for loop in (engine, self.pool) if engine.counted else (engine,):
             loop.backlog += sign * size
             loop.threads_out += sign * request.spec.threads
         self.pool.held.note(now, self.pool.threads_out)
@@ -545,23 +521,24 @@
         if event.result in (Result.TIMEOUT, Result.RESET):
             for loop in (engine, self.pool):
                 loop.delays.append(TIMEOUT_SCORE)
-        if event.result is Result.ERROR:
-            request.erred.append(engine)
         if bad or event.result is Result.SERVED:
             self._blame(engine, bad)
-        if event.result is Result.FULL:
+        if event.result is Result.ERROR:
+            request.erred.append(engine)
+        elif event.result is Result.FULL:
             engine.full_until = self.pool.full_until = now + TRIAL_GAP
         if event.result is Result.CONNECT_FAILED or (event.result is Result.RESET
                                                      and engine.failures > ONE_RESET):
-            engine.suspect, engine.next_trial = True, now + TRIAL_GAP
+            self._suspect(now, engine, True)
         if event.result is not Result.SERVED:
             return
         for other in request.erred:  # danger: an error may be the client's fault, but not where served
             self._blame(other, True)
-        engine.suspect, engine.last_sign = False, now
+        engine.last_sign = now
+        self._suspect(now, engine, False)
         if now == self.stalled:  # danger: the latency holds the time that this gateway stood still
             return
-        ratio = max(1 / OVERDUE, event.latency / max(1, request.run_time()))
+        ratio = max(1 / OVERDUE, event.latency * self._warmth(now, engine) / max(1, request.run_time()))
         for loop in (engine, self.pool):
             loop.delays.append(event.latency / max(1, request.aim()))
             loop.learn(ratio)
@@ -581,7 +558,7 @@
     def _further(self, now: int, request: Request) -> bool:
         """Another attempt where the rules allow. Danger: repeats feed the jam that caused them: none under
         pressure or too late to be over in time, none of what two engines answered with an error."""
-        able = [e for e in self.engines.values() if self._may_send(now, request, e)
+        able = [e for e in self._within_reach(now) if self._may_send(now, request, e)
                 and (self._fits(now, request, e) if self.thin else not e.pressed(now))]
         fit = [e for e in able if e.entry.engine not in request.tried] or able
         return (bool(fit) and len(request.erred) < 2 and request.deadline - now > request.run_time()
@@ -618,7 +595,6 @@
 
     def _settle(self, now: int, request: Request) -> None:
         """Forget a request that is over and has nothing out; the next one of its key may go."""
-        self.looking.pop(request.id, None)
         if not request.done or request.out or self.requests.pop(request.id, None) is None:
             return
         if request.key is not None:
@@ -631,8 +607,7 @@
             return
         self.serving.add(key)
         rest_until = self.key_free_at.get(key, 0)
-        while ((queue := self.queues.get(key)) and not queue[0].done and queue[0].sends == 0
-               and queue[0].id not in self.looking):
+        while (queue := self.queues.get(key)) and not queue[0].done and queue[0].sends == 0:
             if now < rest_until:
                 self._timer(rest_until, self._serve_key, key)
                 break
@@ -648,18 +623,50 @@
         self.period_due = now + PERIOD
         self.refused_share = min(1.0, self.period_refusals / max(1, self.period_arrivals))
         self.period_arrivals = self.period_refusals = 0
+        self._measure_pool(now)  # cold engines may be warm by now
         for loop in (*self.engines.values(), self.pool):
             loop.move()
         known = [e.busy() for e in self.engines.values() if e.report is not None] or [BORNE_OUT]
         self.pool.strain = min(1.0, sum(known) / len(known) / BORNE_OUT) ** 2
 
-    def _measure_pool(self) -> None:
-        """Danger: with many gateways a share is under one query; no engine's own loop hears enough to act."""
-        ready = [e for e in self.engines.values() if self._open(e)]
+    def _measure_pool(self, now: int) -> None:
+        """Danger: with many gateways a share is under one query; no engine's own loop hears enough to act.
+        What vanished with an engine is out until its time is up, and what a drained one still runs takes
+        nothing from the others: in the pool's books, either shuts new work out of all. What cold engines can
+        take is a matter of turns: in the pool's books, it would go to the warm ones."""
+        listed = [e for e in self.engines.values() if self._open(e)]
+        a_core = THREADS_A_CORE / self.settings.fleet_size
+        self.thin = bool(listed) and a_core * sum(e.cores for e in listed) / len(listed) < self.widest
+        for e in self.engines.values():
+            e.counted = self._open(e) and not e.suspect and not (self.thin and now < e.cold_until)
+        ready = [e for e in listed if e.counted]
         self.pool.rescale(sum(e.start for e in ready))
-        share = sum(THREADS_A_CORE * e.cores for e in ready) / self.settings.fleet_size
-        self.pool.thread_share = share or self.widest
-        self.thin = bool(ready) and share / len(ready) < self.widest
+        self.pool.thread_share = a_core * sum(e.cores for e in ready) or self.widest
+        self.pool.backlog = sum(e.backlog - e.beside.backlog for e in ready)
+        self.pool.threads_out = sum(e.threads_out - e.beside.threads for e in ready)
+        self.pool.held.note(now, self.pool.threads_out)
+        self._choose_near(now, listed)
+
+    def _choose_near(self, now: int, listed: list[Engine]) -> None:
+        """Danger: many gateways that each use all engines meet each one seldom, and every one of them has to
+        find out a bad one, by what it loses there: each uses a few, and one more for each held to be out. All
+        sort alike and begin in places spread evenly, so that every engine is used by as many."""
+        order = sorted(listed, key=lambda e: e.entry.engine)
+        first = int(self.settings.me * GOLDEN % 1 * len(order))
+        self.near, room = [], max(NEAR, NEAR_PART * len(order)) if self.thin else len(order)
+        for engine in order[first:] + order[:first]:
+            if room > 0 and (engine.counted or engine.suspect):
+                self.near.append(engine)
+                room -= engine.counted
+        self.cold = [e for e in listed if not (e.counted or e.suspect)]
+
+    def _within_reach(self, now: int) -> list[Engine]:
+        return [*self.near, *(e for e in self.cold if self._our_turn(now, e))]
+
+    def _suspect(self, now: int, engine: Engine, held: bool) -> None:
+        if held or engine.suspect:
+            engine.suspect, engine.next_trial = held, now + TRIAL_GAP
+            self._measure_pool(now)
 
     def _watch_silence(self, now: int, engine: Engine) -> None:
         """Danger: an engine takes work and answers nothing, or is out of reach before the list says so."""
@@ -668,7 +675,7 @@
                 and any(now - a.sent > max(limit, a.size) and a.sent >= engine.born
                         for a in engine.out.values())):
             self._foretell(engine, True)
-            engine.suspect, engine.next_trial = True, now + TRIAL_GAP
+            self._suspect(now, engine, True)
 
     def _list_news(self, now: int, news: api.ListNews) -> None:
         self.ranks.clear()
@@ -677,7 +684,7 @@
         if news.kind in (ListKind.FULL, ListKind.CACHED):
             for name in self.engines.keys() - {entry.engine for entry in news.entries}:
                 self._remove(name)
-        self._measure_pool()
+        self._measure_pool(now)
 
     def _list_entry(self, now: int, entry: api.EngineEntry) -> None:
         if entry.state is EngineState.GONE:
@@ -709,7 +716,7 @@
         (self.banned.add if event.out else self.banned.discard)(event.engine)
         if not event.out and (engine := self.engines.get(event.engine)) is not None:
             self._renew(now, engine, event.at)  # danger: the list tells of its restart late, or not at all
-        self._measure_pool()
+        self._measure_pool(now)
 
     def _beside(self, now: int, event: api.Beside) -> None:
         """Danger: two processes that each fill the whole share overrun engines, cold ones first."""
--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -59,6 +59,7 @@
 BASE_MB = 24             # what the process takes with nothing in hand, and some room
 LEAST_ROOM = 2 << 20     # bytes
 HELD_PAUSE_MS = 1_000
+OWN_WORTH = 0.01         # of a request: about one connection in a hundred ends with what else is on it
 LEAST_ENGINES = 4        # connections to engines, whatever the limit
 RESERVED = (24, 96)      # descriptors for the listener, the bus, the log and some in hand: an eighth, within
 BACK_FOR_GOOD = 600_000_000_000  # ns after which it is of no more use that an engine was called back
@@ -113,6 +114,7 @@
         self.figures = Figures(self.deadlines)
         self.concurrent = 0  # requests taken that have no final answer and whose client has not left
         self.pools = self._connections()
+        self.pools.own = settings.handshake_price <= OWN_WORTH
         self.divide(1, 0)
         self.requests: dict[str, OpenRequest] = {}
         self.ids: dict[bytes, list[OpenRequest]] = {}  # the open requests again, by the client's id
@@ -178,6 +180,7 @@
         self.customers = {t.name for t in read.settings.tenants}
         self.figures.learn(self.deadlines)
         self.pools.retune(read.streams, read.connect_timeout, read.conn_idle)
+        self.pools.own = settings.handshake_price <= OWN_WORTH
 
     # --- clients ---
 
--- a/larchhall/config.py
+++ b/larchhall/config.py
@@ -107,6 +107,13 @@
                       get(source, "tenants.allowance_per_s", "number", 0.0))
 
 
+def _price(charges: Mapping[str, Any], name: str) -> float:
+    price: float = get(charges, f"charges.{name}", "number", 0.0)
+    if price < 0:
+        raise ConfigError(f"charges.{name}: must not be negative")
+    return price
+
+
 def parse_settings(facts: Mapping[str, Any]) -> api.Settings:
     """The start settings; ConfigError names the key that is missing or impossible."""
     try:
@@ -125,7 +132,7 @@
     return api.Settings(
         classes=tuple(_class_settings(c, i, special) for i, c in enumerate(classes)),
         fleet_size=get(facts, "fleet_size", "whole number"), tick=get(facts, "tick", "whole number"),
-        zone=get(facts, "zone", "text", ""),
+        me=get(facts, "me", "whole number", 0), zone=get(facts, "zone", "text", ""),
         contract=api.Contract(**_renamed(contract, "contract", {
             "answer_slack": ("answer_slack", "whole number"), "drain_grace": ("drain_grace", "whole number"),
             "cold_from": ("start_capacity", "number"), "cold": ("cold", "whole number"),
@@ -140,7 +147,7 @@
         tenants=tuple(_tenant(t, i) for i, t in enumerate(get(facts, "tenants", "list", []))),
         kind_cores=tuple(zip(listed(facts, "kinds", "text"),
                              listed(special, "specifics.size_cores", "whole number"), strict=False)),
-        cross_zone_price=get(charges, "charges.cross_zone", "number", 0.0),
+        cross_zone_price=_price(charges, "cross_zone"), handshake_price=_price(charges, "handshake"),
         over_share_worth=get(facts, "over_share_worth", "number", 1.0),
         grants_heeded=get(special, "specifics.memory_heeded", "bool", False),
         priorities_heeded=get(special, "specifics.lanes_count", "bool", False))
--- a/larchhall/interface.py
+++ b/larchhall/interface.py
@@ -145,12 +145,14 @@
     classes: tuple[RequestClass, ...]
     fleet_size: int
     tick: int
+    me: int = 0  # our place among them, from 0
     zone: str = ""
     contract: Contract = Contract()
     limits: Limits = Limits()
     tenants: tuple[Tenant, ...] = ()
     kind_cores: tuple[tuple[str, int], ...] = ()
     cross_zone_price: float = 0.0
+    handshake_price: float = 0.0  # of a request's worth, for a new connection to an engine
     over_share_worth: float = 1.0
     grants_heeded: bool = False
     priorities_heeded: bool = False
--- a/larchhall/state/pools.py
+++ b/larchhall/state/pools.py
@@ -41,8 +41,9 @@
 
     def send(self, attempt: Attempt, now: int) -> None:
         """Danger: a spoilt answer or a reset ends its connection with all that is open there; so each attempt
-        gets one of its own while this engine's part of the descriptors lasts. Answers come under the
-        request's id, also twice: no other attempt of it uses a connection that carried one."""
+        gets one of its own while this engine's part of the descriptors lasts, where handshakes are cheap.
+        Answers come under the request's id, also twice: no other attempt of it uses a connection that
+        carried one."""
         request = attempt.request
         best, least, stuck, full = None, self.pools.streams, None, False
         for c in self._usable(now):  # on every request's path: one pass, nothing built
@@ -62,7 +63,7 @@
                                             and self.pools.room(self)):
             self.pools.unsent(attempt, Result.NOT_SENT)  # nothing more fits before this engine's sockets
             return
-        if best is None or (best.open and len(self.connections) < self.pools.share(self)
+        if best is None or (best.open and self.pools.own and len(self.connections) < self.pools.share(self)
                             and self.pools.room(self)):
             self.waiting.append(attempt)
             self._open()
@@ -188,6 +189,7 @@
                  unsent: Callable[[Attempt, Result], None], may_go: Callable[[Attempt, Hand], bool]) -> None:
         self.owner, self.log, self.unsent, self.may_go = owner, log, unsent, may_go
         self.most = 0
+        self.own = True  # attempts get connections of their own while there is room
         self.retune(streams, connect_timeout, conn_idle)
         self.by_number: dict[int, EnginePool] = {}
 
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,142 @@
+"""A fleet of gateways that share nothing: what is harmless in one and harmful when all do it."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from typing import Any
+
+import pytest
+
+from larchhall import interface as api
+
+from .helpers import MS, Harness, S, entry, make_settings, query_class
+
+FLEET, CORES = 40, 8
+CONTRACT = api.Contract(drain_grace=S, cold_from=0.36, cold=12 * S, fall=1_500 * MS, fall_multiple=2.0)
+CLASSES = (query_class("lookup", aim=S, deadline=5 * S),
+           query_class("report", aim=1_500 * MS, deadline=20 * S, worth=10.0, threads=4))
+
+
+def uids(count: int, seed: int = 5) -> list[int]:
+    return random.Random(seed).sample(range(1 << 32), count)
+
+
+def gateways(engines: list[int], fleet: int = FLEET, **more: Any) -> list[Harness]:
+    return [Harness(make_settings(*CLASSES, fleet_size=fleet, me=me, kind_cores=(("box", CORES),),
+                                  contract=CONTRACT, **more),
+                    *(entry(e, zone="ab"[i % 2]) for i, e in enumerate(engines)), seed=me)
+            for me in range(fleet)]
+
+
+@pytest.mark.parametrize(("listed", "fresh"), [(30, 1), (30, 15), (30, 18), (60, 36)],
+                         ids=["one engine", "a zone", "six in ten", "six in ten of sixty"])
+def test_the_sum_of_all_gateways_keeps_the_cold_budget(listed: int, fresh: int) -> None:
+    """Danger: each judges its own part of a budget that holds for the sum; equal parts are under one query
+    and leave the engine idle, parts drawn by each for itself may all be large at once."""
+    engines, draw = uids(listed), random.Random(3)
+    cold = set(engines[:fresh])
+    fleet = gateways(engines)
+    began = fleet[0].now
+    news = api.ListNews(api.ListKind.CHANGES, tuple(entry(e, started=began) for e in sorted(cold)))
+    told = [began + draw.randrange(2 * S) for _ in fleet]
+    sent: dict[int, list[tuple[int, int]]] = {e: [] for e in cold}
+    for step in range(120):
+        for me, h in enumerate(fleet):
+            h.pass_time(began + step * 100 * MS - h.now)
+            if h.now - 100 * MS < told[me] <= h.now:
+                h.do(news)
+            if h.now < told[me]:
+                continue
+            name, work = ("report", 2 * S) if draw.random() < 0.2 else ("lookup", 200 * MS)
+            work = int(work * draw.uniform(0.5, 1.5))
+            h.arrive(f"r{step}", name, estimate=work)
+            for send in h.sends(f"r{step}"):
+                if send.engine in cold:
+                    sent[send.engine].append((h.now, work))
+                h.end(f"r{step}", api.Result.SERVED, latency=work // 4)
+    for engine in cold:
+        for at, _ in sent[engine]:
+            part = CONTRACT.cold_from + (1 - CONTRACT.cold_from) * min(1.0, (at - began) / CONTRACT.cold)
+            within = sum(work for when, work in sent[engine] if at - CONTRACT.fall < when <= at)
+            assert within <= part * CORES * CONTRACT.fall_multiple * CONTRACT.fall
+    used = sum(work for items in sent.values() for _, work in items) / len(cold) / (12 * S)
+    assert used > 0.1 * CONTRACT.cold_from * CORES  # of what they can do at their start
+
+
+def test_turns_on_different_engines_are_not_in_step() -> None:
+    """Danger: all fresh engines idle at the same moments, and the warm ones get everything then."""
+    engines = uids(30)
+    h = gateways(engines)[0]
+    h.do(api.ListNews(api.ListKind.CHANGES, tuple(entry(e, started=h.now) for e in engines[:15])))
+    def open_now(at: int) -> int:
+        return sum((at + e) % (2 * CONTRACT.fall) < CONTRACT.fall for e in engines[:15])
+    shares = [open_now(h.now + i * 100 * MS) for i in range(30)]
+    assert min(shares) >= 3 and max(shares) <= 12
+    owners = {e: [me for me, g in enumerate(gateways(engines))
+                  if g.controller._our_turn(h.now, g.controller.engines[e])] for e in engines[:15]}
+    assert all(len(mine) <= 1 for mine in owners.values()) and any(owners.values())
+
+
+@pytest.mark.parametrize("listed", [30, 60])
+def test_each_gateway_uses_a_part_and_each_engine_is_used_by_as_many(listed: int) -> None:
+    """Danger: 40 gateways that each meet an engine seldom each lose a query on a bad one to learn of it."""
+    fleet = gateways(uids(listed))
+    used = Counter(e.entry.engine for h in fleet for e in h.controller.near)
+    each = {len(h.controller.near) for h in fleet}
+    mean = sum(used.values()) / listed
+    assert each == {max(10, listed // 4)} and len(used) == listed
+    assert 0.7 * mean <= min(used.values()) and max(used.values()) <= 1.3 * mean
+
+
+def test_an_engine_held_to_be_out_brings_one_more_into_use_and_few_others_change() -> None:
+    engines = uids(30)
+    h = gateways(engines)[7]
+    gateway = h.controller
+    before = [e.entry.engine for e in gateway.near]
+    gateway._suspect(h.now, gateway.near[2], True)
+    assert [e.entry.engine for e in gateway.near][:10] == before and len(gateway.near) == 11
+    h.do(api.ListNews(api.ListKind.CHANGES, (entry(engines[0], state=api.EngineState.GONE),)))
+    assert len({e.entry.engine for e in gateway.near} & set(before)) >= 8
+
+
+def test_few_gateways_use_all_engines() -> None:
+    h = gateways(uids(8), fleet=3)[1]
+    assert not h.controller.thin and len(h.controller.near) == 8
+
+
+def test_what_vanished_with_a_zone_leaves_room_for_the_rest() -> None:
+    """Danger: attempts on engines that died in silence are out until their time is up; in the pool's books
+    they shut new work out of engines that idle."""
+    h = gateways(uids(30))[0]
+    gateway = h.controller
+    for i in range(40):
+        h.arrive(f"r{i}", "report", patience=20 * S, estimate=S)
+    pool, before = gateway.pool, gateway.pool.threads_out
+    lost = [e for e in gateway.near if e.out][:5]
+    held = sum(e.threads_out for e in lost)
+    for engine in lost:
+        gateway._suspect(h.now, engine, True)
+    assert held > 0 and pool.threads_out == before - held
+    assert pool.thread_share == pytest.approx(2 * CORES * 25 / FLEET)
+    number = next(a for a in lost[0].out)
+    h.end(number[0], api.Result.TIMEOUT, attempt=number[1])  # told at last: not booked out twice
+    assert pool.threads_out == sum(e.threads_out for e in gateway.engines.values() if e.counted)
+
+
+def test_what_drains_takes_no_room_in_the_pool() -> None:
+    h = gateways(uids(30))[0]
+    for i in range(10):
+        h.arrive(f"r{i}", "report", patience=20 * S, estimate=S)
+    gateway = h.controller
+    engine = next(e for e in gateway.near if e.out)
+    before = gateway.pool.threads_out
+    h.do(api.ListNews(api.ListKind.CHANGES, (entry(engine.entry.engine, state=api.EngineState.DRAINING),)))
+    assert gateway.pool.threads_out == before - engine.threads_out
+
+
+def test_work_of_an_arrival_does_not_grow_with_the_engines() -> None:
+    """A count of engines examined, not a time."""
+    for listed in (30, 60):
+        h = gateways(uids(listed))[3]
+        assert len(h.controller._within_reach(h.now)) <= max(10, listed // 4)
