Trials of suspects are probes with rests; failing engines are held out; turns are used whole

Change: an engine that fails what another serves is held out as one that resets. With many gateways a suspect is tried by one probe, rests grow with its failures and are drawn at random; a probe that comes back clears it. A turn on a cold engine is bound by its budget alone. The pool wants half the aim as mean delay and 1.5 threads a core, since what has timed out runs on where no cancel is heeded.

--- a/larchhall/books.py
+++ b/larchhall/books.py
@@ -23,6 +23,7 @@
     """What one fuzzy loop works with, of an engine or of the pool."""
 
     start: float = 0.0           # thread-ns; where the bound begins
+    wanted: float = 1.0          # S_t, the mean delay to be had, in aims
     thread_share: float = 0.0    # our threads past this are pressure by themselves
     bound: float = 0.0           # thread-ns
     backlog: int = 0             # thread-ns outstanding
--- a/larchhall/brain.py
+++ b/larchhall/brain.py
@@ -19,10 +19,12 @@
 # --- The mechanism's own figures (DESIGN page) ---
 PERIOD = 1_000_000_000  # ns; the controller's period, also the unit of the retry-after
 SPAN = 0.5              # of a class's aim; half-width of the fuzzy universe of error and change
+POOL_WANTED = 0.5       # aims; the pool's mean delay S_t: an overrun by all gateways tells of itself late
 TOP_LEVEL = 4           # nine sets: levels -4 (NVL) to 4 (PVL)
 HELD_LEVEL = 3          # the rule base holds its output to this level but for the corners
 CORNER_UP, CORNER_DOWN = 5, -6  # level sums from which the output is very large
 THREADS_A_CORE = 2      # start of the bound: this share of threads a core for the longest aim
+POOL_THREADS = 1.5      # the same for the pool, which does not see what runs on after its time is up
 CEILING = 4             # times the start
 REACH = 1 / 8           # of the ceiling: the largest step of one period
 TIMEOUT_SCORE = 2.0     # aims; what a time-out counts for in the mean delay
@@ -32,7 +34,6 @@
 BUSY = 0.9              # reported utilisation, memory or disk share of a busy engine
 STALL = PERIOD // 4     # a period timer so late: this gateway stood still, the engines did not
 MEMORY = 3 * PERIOD     # over which the pool's mean of our threads is taken: several run times
-BORNE_OUT = 0.7         # mean reported share from which reports bear out that our threads crowd the pool
 CROWDING = 4            # exponent by which the bound shrinks once our threads pass our share
 # --- The draw ---
 SHARPNESS = 3           # exponent of the load in the draw; higher comes nearer to "least loaded"
@@ -55,6 +56,7 @@
 ONE_RESET = 0.3         # more than one reset adds to that share; a second soon after tells of a dead process
 SILENCE = 1.0           # of the shortest aim: an engine that owes answers and gives none for so long
 TRIAL_GAP = PERIOD      # between single trials on an engine held to be out or full; so long full is pressure
+TRIAL_REST = 8 * PERIOD # times its failure share, the most that is further left, so that none go in step
 COPY = 3.0              # times its expected time: a second copy, where allowed and harmless, runs beside it
 OVERDUE = 6.0           # times its expected time: an attempt held to have a bad plan
 GRANT_MARGIN = 1.2      # times the estimated memory, where grants are heeded; more makes others spill
@@ -126,8 +128,7 @@
         crowd = self.crowd(now, threads)
         if self.backlog == 0 or not (self.pressed(now) or crowd > 1):
             return True
-        self.bound_used = True
-        # Danger: delays tell of a jam only after it: the bound shrinks at once as our threads pass our share.
+        self.bound_used = True  # it shrinks at once as our threads pass our share: delays tell of that late
         return self.backlog + size <= self.bound * room / max(1.0, crowd) ** CROWDING
 
     def learn(self, ratio: float) -> None:
@@ -136,14 +137,13 @@
         self.best = max(1.0, min(self.best, self.slowdown))
 
     def move(self) -> None:
-        """d_t(k) = d_t(k-1) + fuzzy step of e(k) = 1 - s(k) and its change, held to [0, ceiling]."""
+        """d_t(k) = d_t(k-1) + fuzzy step of e(k) = S_t - s(k) and its change, held to [0, ceiling]."""
         self.best += BEST_DRIFT * (self.slowdown - self.best)
         if not self.delays or not self.bound_used:
             # Danger: windup; periods without a test would raise the bound and let the next jump in whole.
-            self.bound += EMPTY_STEP * (self.start - self.bound)
-            self.last_error = None
+            self.bound, self.last_error = self.bound + EMPTY_STEP * (self.start - self.bound), None
         else:
-            error = 1.0 - sum(self.delays) / len(self.delays)
+            error = self.wanted - sum(self.delays) / len(self.delays)
             change = 0.0 if self.last_error is None else error - self.last_error
             bound = self.bound + fuzzy_step(error / SPAN, change / SPAN, REACH * CEILING * self.start)
             self.bound, self.last_error = max(0.0, min(CEILING * self.start, bound)), error
@@ -153,13 +153,12 @@
 @dataclass(slots=True, kw_only=True)
 class Pool(Loop):
     """All engines at once. Danger: one gateway's few threads pass its share by chance: their mean over
-    seconds tells what all, being alike, hold; survivors of dead ones hold more: reports must bear it out."""
+    seconds tells what all, being alike, hold."""
 
     held: FadingMean             # of threads_out
-    strain: float = 1.0          # (mean of the last reports over BORNE_OUT) squared, at most 1; 1 without
 
     def crowd(self, now: int, threads: int) -> float:
-        return self.held.at(now) / self.thread_share * self.strain
+        return self.held.at(now) / self.thread_share
 
 
 @dataclass(slots=True, kw_only=True)
@@ -202,19 +201,16 @@
 
     def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
         self.random = random.Random(seed)
-        self.views: dict[str, ClassView] = {}
-        self.shares: dict[str, TokenBucket] = {}
-        self.engines: dict[int, Engine] = {}
-        self.banned: set[int] = set()
+        self.views, self.shares = dict[str, ClassView](), dict[str, TokenBucket]()
+        self.engines, self.banned = dict[int, Engine](), set[int]()
         self.taking = 1  # processes of this gateway that take requests
         self.mean_worth, self.mean_work = 1e-9, 1.0
-        self.pool = Pool(held=FadingMean(MEMORY, now))
+        self.pool = Pool(held=FadingMean(MEMORY, now), wanted=POOL_WANTED)
         self.near, self.cold = list[Engine](), list[Engine]()  # that we use; that we use in our turns
         self.thin = False  # our share of an engine is under one query: the pool's loop decides as well
-        self.requests: dict[str, Request] = {}
-        self.queues: dict[str, deque[Request]] = {}
-        self.key_free_at: dict[str, int] = {}
-        self.serving: set[str] = set()
+        self.by_probe = False  # danger: trials by query, of many gateways, add up and keep an engine jammed
+        self.requests, self.queues = dict[str, Request](), dict[str, deque[Request]]()
+        self.key_free_at, self.serving = dict[str, int](), set[str]()
         self.held_sets: Counter[tuple[int, int]] = Counter()  # (engine, data set): our loads there
         self.groups: defaultdict[str, float] = defaultdict(float)  # failure share by room and by kind
         self.ranks: dict[int, dict[int, float]] = {}
@@ -283,17 +279,14 @@
         if event.patience <= 2 * self.settings.tick or self._waits_too_long(now, request):
             return self._finish(now, request)
         self._admit(now, request) if request.key is None else self._serve_key(now, request.key)
-        # Rule 1: a final answer a tick before the client gives up. Danger: a refused flood kept until then.
-        if not request.done:
+        if not request.done:  # rule 1: a final answer a tick before the client gives up
             self._timer(request.deadline - self.settings.tick, self._finish, request)
 
     def _waits_too_long(self, now: int, request: Request) -> bool:
         """Danger: a key's requests run one at a time; a queue longer than the aim makes all of them late."""
-        if request.key is None or len(self.queues[request.key]) == 1:
-            return False
-        return bool(request.aim() < sum(
+        return request.key is not None and len(self.queues[request.key]) > 1 and request.aim() < sum(
             max(0.0, r.view.expected_time(r.work)
-                - max((now - a.sent for a in r.out.values()), default=0)) for r in self.queues[request.key]))
+                - max((now - a.sent for a in r.out.values()), default=0)) for r in self.queues[request.key])
 
     def _admit(self, now: int, request: Request) -> None:
         """The ordinary path: a weighted draw among the engines where the query fits, else refusal at once."""
@@ -306,15 +299,22 @@
 
     def _fits(self, now: int, request: Request, engine: Engine) -> bool:
         """The design's test. Work beyond a tenant's share sees a smaller bound, under pressure only."""
+        if self.thin and not engine.counted:
+            return True  # what a turn or a trial allows is bound enough; our usual share would waste the turn
         size, threads = engine.size(request.work), request.spec.threads
         # Danger: large work shuts out small queries that pay more for theirs: each sees its worth per work.
         room = request.spec.worth / request.work * self.mean_work / self.mean_worth
         room *= OVER_SHARE_ROOM if request.over_share else 1.0
-        return (engine.fits(now, size, threads, room)
-                and (not self.thin or not engine.counted or self.pool.fits(now, size, threads, room)))
+        return engine.fits(now, size, threads, room) and (
+            not self.thin or self.pool.fits(now, size, threads, room))
 
     def _seen(self, now: int, event: api.ProbeResult) -> None:
-        if (engine := self.engines.get(event.engine)) is not None and event.report is not None:
+        if (engine := self.engines.get(event.engine)) is None:
+            return
+        if engine.suspect and self.by_probe:
+            self._blame(engine, event.result is not Result.SERVED)
+            return self._suspect(now, engine, event.result is not Result.SERVED)
+        if event.report is not None:
             engine.report, engine.threads_since_report = event.report, 0
 
     def _draw(self, request: Request, engines: list[Engine]) -> Engine:
@@ -398,9 +398,8 @@
         return self.contract.budget_window <= 0 or self.further.at(now) + 1 <= allowed
 
     def _cold_allows(self, now: int, engine: Engine, work: int) -> bool:
-        """Rule 4. Danger: a fresh engine falls over and stays down. Our share of its budget, any window.
-        Danger: with many gateways a share is under one query and a fresh room idles: each in its turn has the
-        whole, and the time after it is nobody's: no window of the contract holds what two have sent."""
+        """Rule 4. Danger: a fresh engine falls over and stays down. Our share of its budget, any window; with
+        many gateways, where that is no query: the whole in our turn, and the time after each is nobody's."""
         rules = self.contract
         if now >= engine.cold_until or rules.fall <= 0:
             return True
@@ -427,7 +426,7 @@
             return now >= engine.next_trial
         if not engine.suspect or all(e.suspect for n, e in self.engines.items() if n not in self.banned):
             return True
-        return (now >= engine.next_trial and request.spec.effect is Effect.SAFE
+        return (now >= engine.next_trial and request.spec.effect is Effect.SAFE and not self.by_probe
                 and not any(a.trial for a in engine.out.values()))
 
     def _send(self, now: int, request: Request, engine: Engine) -> bool:
@@ -441,8 +440,7 @@
         attempt = Attempt(request.sends, engine.entry.engine, now, engine.size(request.work),
                           engine.load() < CALM_LOAD and not engine.pressed(now), engine.suspect)
         if (self.settings.priorities_heeded or self.settings.grants_heeded) and request.sends == 0:
-            # Short work first: 3 below the shortest aim, 1 from the longest on, 0 what is beyond a share.
-            run = request.run_time()
+            run = request.run_time()  # short work first: 3 below the shortest aim, 0 what is beyond a share
             rank = 0 if request.over_share else 1 + (run < self.shortest_aim) + (run < self.longest_aim)
             self.actions.append(api.Terms(request.id, rank, GRANT_MARGIN * request.memory_mb))
         self.actions.append(api.Send(request.id, engine.entry.engine, request.deadline - now))
@@ -468,9 +466,8 @@
 
     def _review(self, now: int, request: Request, number: int) -> None:
         """An attempt far past its expected time (bad plan, lost, crowded out) is cancelled and tried anew."""
-        if (number in request.out and self.limits.cancel and request.spec.effect is not Effect.UNSAFE
-                and request.sends < self.limits.max_attempts
-                and not request.done and request.deadline - now >= request.run_time()):
+        if (number in request.out and request.spec.effect is not Effect.UNSAFE and not request.done and
+                request.sends < self.limits.max_attempts and request.deadline - now >= request.run_time()):
             self.actions.append(api.Cancel(request.id, number))
 
     def _copy(self, now: int, request: Request) -> None:
@@ -527,13 +524,13 @@
             request.erred.append(engine)
         elif event.result is Result.FULL:
             engine.full_until = self.pool.full_until = now + TRIAL_GAP
-        if event.result is Result.CONNECT_FAILED or (event.result is Result.RESET
-                                                     and engine.failures > ONE_RESET):
+        if event.result is Result.CONNECT_FAILED or bad and engine.failures > ONE_RESET:
             self._suspect(now, engine, True)
         if event.result is not Result.SERVED:
             return
         for other in request.erred:  # danger: an error may be the client's fault, but not where served
             self._blame(other, True)
+            self._suspect(now, other, other.suspect or other.failures > ONE_RESET)
         engine.last_sign = now
         self._suspect(now, engine, False)
         if now == self.stalled:  # danger: the latency holds the time that this gateway stood still
@@ -547,11 +544,8 @@
             request.view.learn(request.estimate, event.latency)
 
     def _blame(self, engine: Engine, bad: bool) -> None:
-        engine.failures += ERROR_LEARN * (bad - engine.failures)
-        self._foretell(engine, bad)
-
-    def _foretell(self, engine: Engine, bad: bool) -> None:
         """Danger: a room or a kind is lost at once: failures and silences of a few foretell the rest."""
+        engine.failures += ERROR_LEARN * (bad - engine.failures)
         for group in (engine.entry.zone, engine.entry.kind):
             self.groups[group] += ERROR_LEARN * (bad - self.groups[group])
 
@@ -624,24 +618,26 @@
         self.refused_share = min(1.0, self.period_refusals / max(1, self.period_arrivals))
         self.period_arrivals = self.period_refusals = 0
         self._measure_pool(now)  # cold engines may be warm by now
+        for engine in self.near:
+            if engine.suspect and self.by_probe and now >= engine.next_trial:
+                engine.next_trial = now + TRIAL_GAP
+                self.actions.append(api.Probe(engine.entry.engine))
         for loop in (*self.engines.values(), self.pool):
             loop.move()
-        known = [e.busy() for e in self.engines.values() if e.report is not None] or [BORNE_OUT]
-        self.pool.strain = min(1.0, sum(known) / len(known) / BORNE_OUT) ** 2
 
     def _measure_pool(self, now: int) -> None:
         """Danger: with many gateways a share is under one query; no engine's own loop hears enough to act.
-        What vanished with an engine is out until its time is up, and what a drained one still runs takes
-        nothing from the others: in the pool's books, either shuts new work out of all. What cold engines can
-        take is a matter of turns: in the pool's books, it would go to the warm ones."""
+        What vanished with an engine, or still runs on a drained one, would shut new work out of all others;
+        what cold ones can take is a matter of turns, and would go to the warm ones."""
         listed = [e for e in self.engines.values() if self._open(e)]
-        a_core = THREADS_A_CORE / self.settings.fleet_size
-        self.thin = bool(listed) and a_core * sum(e.cores for e in listed) / len(listed) < self.widest
+        fleet, cores = self.settings.fleet_size, [e.cores for e in listed] or [0]
+        self.thin = 0 < THREADS_A_CORE * sum(cores) / len(cores) < self.widest * fleet
+        self.by_probe = self.thin and self.limits.probes
         for e in self.engines.values():
-            e.counted = self._open(e) and not e.suspect and not (self.thin and now < e.cold_until)
+            e.counted = self._open(e) and not (e.suspect or self.thin and now < e.cold_until)
         ready = [e for e in listed if e.counted]
         self.pool.rescale(sum(e.start for e in ready))
-        self.pool.thread_share = a_core * sum(e.cores for e in ready) or self.widest
+        self.pool.thread_share = POOL_THREADS * sum(e.cores for e in ready) / fleet or self.widest
         self.pool.backlog = sum(e.backlog - e.beside.backlog for e in ready)
         self.pool.threads_out = sum(e.threads_out - e.beside.threads for e in ready)
         self.pool.held.note(now, self.pool.threads_out)
@@ -665,7 +661,8 @@
 
     def _suspect(self, now: int, engine: Engine, held: bool) -> None:
         if held or engine.suspect:
-            engine.suspect, engine.next_trial = held, now + TRIAL_GAP
+            engine.suspect = held
+            engine.next_trial = now + TRIAL_GAP + int(TRIAL_REST * engine.failures * self.random.random())
             self._measure_pool(now)
 
     def _watch_silence(self, now: int, engine: Engine) -> None:
@@ -674,7 +671,7 @@
         if (not engine.suspect and now - max(engine.last_sign, self.stalled) > limit
                 and any(now - a.sent > max(limit, a.size) and a.sent >= engine.born
                         for a in engine.out.values())):
-            self._foretell(engine, True)
+            self._blame(engine, True)
             self._suspect(now, engine, True)
 
     def _list_news(self, now: int, news: api.ListNews) -> None:
