The bus is asked again after waits drawn from the seed; tests of full tables, a lost zone, any list

Need: 40 brokers lose the bus at one moment and came back to it in step: Feed._again waited the same 50 to 400 ms in each. Now half to the whole of that, drawn from the broker's seed; the longest wait is as before, so news is not later.

--- a/larchhall/lifecycle/boot.py
+++ b/larchhall/lifecycle/boot.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import os
+import random
 import resource
 import signal
 import socket
@@ -190,7 +191,8 @@
 
     def _follow(self, bus: tuple[str, int]) -> None:
         if self.feed is None:
-            self.feed = Feed(bus, self.config.known_offset, self._news, self.clock.now, self.log)
+            self.feed = Feed(bus, self.config.known_offset, self._news, self.clock.now, self.log,
+                             random.Random(self.config.seed).random)
             self.feed.start()
         else:
             self.feed.move(bus)
--- a/larchhall/wire/feed.py
+++ b/larchhall/wire/feed.py
@@ -51,8 +51,10 @@
     """Keeps one connection to the bus and hands its events on in order, each once."""
 
     def __init__(self, address: tuple[str, int], last: int, take: Callable[[bus.BusEvent], None],
-                 now: Callable[[], int], log: Callable[[str, str], None]) -> None:
+                 now: Callable[[], int], log: Callable[[str, str], None],
+                 draw: Callable[[], float]) -> None:
         self.address, self.last, self.take, self.now, self.log = address, last, take, now, log
+        self.draw = draw  # from 0 to 1
         self.heard = now()
         self.connection: FeedConnection | None = None
         self.task: asyncio.Task[None] | None = None
@@ -103,7 +105,8 @@
             before.drop()
 
     def _again(self) -> None:
-        self._connect_after(self.wait)
+        """Danger: all brokers lose the bus at one moment, and would come back to it together."""
+        self._connect_after(self.wait * (0.5 + self.draw() / 2))
         self.wait = min(RETRY[1], self.wait * 2)
 
     def lost(self, connection: FeedConnection) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -249,3 +249,57 @@
     pool.move()
     assert pool.bound < before
     assert all(e.wanted == 1.0 for e in h.controller.engines.values())
+
+
+def test_a_zone_goes_silent_and_comes_back_cold() -> None:
+    """One final answer for each request, no unsafe one sent twice; the zone is found out, then in use."""
+    classes = (*CLASSES, query_class("load", aim=3 * S, deadline=25 * S, threads=2, effect=api.Effect.UNSAFE))
+    engines = uids(30)
+    h = Harness(make_settings(*classes, fleet_size=FLEET, me=3, kind_cores=(("box", CORES),),
+                              contract=CONTRACT, limits=PROBES),
+                *(entry(e, zone="ab"[i % 2]) for i, e in enumerate(engines)))
+    draw, kinds, served, zone = random.Random(9), dict[str, str](), set[str](), set(engines[1::2])
+    ends: dict[tuple[str, int], tuple[int, api.Result]] = {}
+    for step in range(420):
+        if step < 380:
+            kinds[f"r{step}"] = draw.choice(["lookup", "lookup", "report", "load"])
+            h.arrive(f"r{step}", kinds[f"r{step}"], patience=5 * S, estimate=300 * MS)
+        for name in kinds:
+            for number, send in enumerate(h.sends(name)):
+                silent = send.engine in zone and step < 200
+                ends.setdefault((name, number), (step + 50, api.Result.TIMEOUT) if silent
+                                else (step + 3, api.Result.SERVED))
+        for (name, number), (due, result) in list(ends.items()):
+            if due == step:
+                if result is api.Result.SERVED and not h.answers(name):
+                    served.add(name)
+                h.end(name, result, attempt=number, latency=300 * MS,
+                      finished=name in served or bool(h.answers(name)))
+        h.pass_time(100 * MS)
+        if step == 199:
+            out = [e for e in h.controller.near if e.entry.engine in zone]
+            assert out and all(e.suspect for e in out)
+            h.do(api.ListNews(api.ListKind.CHANGES,
+                              tuple(entry(e, zone="b", started=h.now) for e in sorted(zone))))
+            assert not any(h.controller.engines[e].suspect for e in zone)
+    assert sum(result is api.Result.TIMEOUT for _, result in ends.values()) >= 3
+    assert not h.controller.requests
+    for name, kind in kinds.items():
+        assert len(h.answers(name)) + (name in served) == 1
+        assert kind != "load" or len(h.sends(name)) <= 1
+    assert any(a.engine in zone for at, a in h.log if isinstance(a, api.Send) and at > 122 * S)
+
+
+@pytest.mark.parametrize("count", [0, 1, 500])
+def test_a_whole_list_of_any_length_in_mid_service(count: int) -> None:
+    h = gateways(uids(30))[0]
+    h.arrive("open", "report", patience=20 * S, estimate=S)
+    h.do(api.ListNews(api.ListKind.FULL, tuple(entry(e) for e in uids(count, seed=8))))
+    h.pass_time(2 * S)
+    went = h.sends("open")[0].engine
+    for i in range(50):
+        h.arrive(f"r{i}", "lookup", estimate=MS)
+        assert all(s.engine != went or went in uids(count, seed=8) for s in h.sends(f"r{i}"))
+        assert h.sends(f"r{i}") or isinstance(h.answers(f"r{i}")[0], api.Refuse)
+    h.end("open", api.Result.SERVED)
+    assert not h.answers("open")
--- a/tests/test_sockets_engine.py
+++ b/tests/test_sockets_engine.py
@@ -15,7 +15,19 @@
 from larchhall.wire import frames, resp
 from larchhall.wire.bus import parse_event
 
-from .sockets import MS, STATEMENT, TRACE, Engine, event, make_config, on_uvloop, running, target, until
+from .sockets import (
+    MS,
+    STATEMENT,
+    TRACE,
+    Engine,
+    event,
+    free_port,
+    make_config,
+    on_uvloop,
+    running,
+    target,
+    until,
+)
 
 
 def closed_port() -> int:
@@ -442,3 +454,55 @@
         client.send(frames.ASK_READY, 0, b"\0")
         assert (await client.frame())[0] == frames.READY  # no second answer went before it
         assert len(asked) == 3 and not rig.node.broker.requests
+
+
+@on_uvloop
+async def test_engines_whose_tables_are_full_are_asked_seldom_and_what_is_unsent_is_refused_at_once() -> None:
+    """Danger: 40 brokers that connect anew for each request keep the tables of all engines full."""
+    config = make_config(*[target(f"s-{n}", closed_port()) for n in range(30)], fleet_size=40,
+                         charges={"handshake": 0.08})
+    async with running(config) as rig:
+        client = await rig.client()
+        tried: list[int] = []
+        for pool in rig.node.broker.pools.by_number.values():
+            connect = pool._connect
+
+            async def counted(connect=connect, number=pool.number) -> None:  # type: ignore[no-untyped-def]
+                tried.append(number)
+                await connect()
+            pool._connect = counted  # type: ignore[method-assign]
+        for stream in range(1, 41):
+            client.ask(stream, trace=f"{stream:016x}", route="till-load" if stream % 2 else "lookup")
+            code, fields = (await client.answer())[1:3]
+            assert code == frames.REFUSED and int(fields["pause"]) > 0
+        assert len(tried) <= 5 * 40  # never more than a request's attempts
+        known = rig.node.broker.facade.controller.engines.values()
+        assert any(e.suspect for e in known) and all(e.next_trial < 1 << 62 for e in known)
+
+
+@on_uvloop
+async def test_an_engine_whose_table_was_full_comes_back_by_a_probe() -> None:
+    def script(engine: Engine, parts: list[bytes], writer: asyncio.StreamWriter) -> None:
+        if parts[0] == b"top":
+            writer.write(resp.encode(parts[1], b"green", b"meter=x0:0.2", b""))
+    engine = Engine(script)
+    port = await engine.start()
+    config = make_config(target("s-1", port), *[target(f"s-{n}", closed_port()) for n in range(2, 5)],
+                         fleet_size=40)
+    async with running(config) as rig:
+        broker = rig.node.broker
+        known = broker.facade.controller.engines[broker.engines.number("s-1")]
+        broker.facade.controller._suspect(broker.now(), known, True)
+        await until(lambda: engine.words(b"top") and not known.suspect)
+
+
+@on_uvloop
+async def test_brokers_that_lose_the_bus_together_do_not_come_back_together() -> None:
+    waits: list[float] = []
+    for seed in range(6):
+        async with running(replace(make_config(bus=free_port()), seed=seed)) as rig:
+            assert rig.node.feed is not None
+            rig.node.feed._connect_after = waits.append  # type: ignore[method-assign, assignment]
+            rig.node.feed.wait = 0.4
+            rig.node.feed._again()
+    assert len(set(waits[-6:])) > 3 and all(0.2 <= wait <= 0.4 for wait in waits)
