A class that is refused more often than it should be sees more of the pool's bound

Change: the fading share of each class's requests, within their tenants' shares, that were sent divides the bound it sees, 0.2 at the least; in the pool alone.

--- a/larchhall/brain.py
+++ b/larchhall/brain.py
@@ -62,6 +62,7 @@
 GRANT_MARGIN = 1.2      # times the estimated memory, where grants are heeded; more makes others spill
 COLD_SAFETY = 3.0       # estimates may be this far too low: divides the budget of a cold engine
 TURN_SAFETY = 1.5       # the same for a whole turn of one of many gateways: errors of its queries even out
+LEAST_ADMITTED = 0.2    # divides the pool's bound at the most: a class refused more often sees more room
 OVER_SHARE_ROOM = 0.25  # of the bound, under pressure, for a tenant's traffic beyond its share
 YIELD_LEARN = 0.02      # weight of one arrival in the mean worth and work
 TENANT_BURST = 2.0      # seconds of its share that a tenant may save up
@@ -91,6 +92,7 @@
     answers: int = 0
     mean_work: float = 0.0
     pace: float = 1.0
+    admitted: float = 1.0  # the fading share of those within their tenants' shares that were sent
 
     def expected_work(self, estimate: int | None) -> int:
         """Thread-nanoseconds: the estimate corrected from outcomes, else the class mean."""
@@ -152,8 +154,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Pool(Loop):
-    """All engines at once. Danger: one gateway's few threads pass its share by chance: their mean over
-    seconds tells what all, being alike, hold."""
+    """All engines at once. Danger: few threads pass a share by chance; their mean tells what all hold."""
 
     held: FadingMean             # of threads_out
 
@@ -203,8 +204,7 @@
         self.random = random.Random(seed)
         self.views, self.shares = dict[str, ClassView](), dict[str, TokenBucket]()
         self.engines, self.banned = dict[int, Engine](), set[int]()
-        self.taking = 1  # processes of this gateway that take requests
-        self.mean_worth, self.mean_work = 1e-9, 1.0
+        self.taking, self.mean_worth, self.mean_work = 1, 1e-9, 1.0  # processes that take requests; means
         self.pool = Pool(held=FadingMean(MEMORY, now), wanted=POOL_WANTED)
         self.near, self.cold = list[Engine](), list[Engine]()  # that we use; that we use in our turns
         self.thin = False  # our share of an engine is under one query: the pool's loop decides as well
@@ -294,7 +294,9 @@
         in_time = request.sends > 0 or request.deadline - now > request.run_time()  # else it is all waste
         fit = [e for e in able if in_time and self._fits(now, request, e)]
         fit = [e for e in fit if not (e.counted or e.suspect)] or fit  # cold: what our turn leaves is lost
-        if not fit or not self._send(now, request, self._draw(request, fit)):
+        sent = bool(fit) and self._send(now, request, self._draw(request, fit))
+        request.view.admitted += ERROR_LEARN * (sent - request.view.admitted) * (not request.over_share)
+        if not sent:
             self._finish(now, request)
 
     def _fits(self, now: int, request: Request, engine: Engine) -> bool:
@@ -305,8 +307,8 @@
         # Danger: large work shuts out small queries that pay more for theirs: each sees its worth per work.
         room = request.spec.worth / request.work * self.mean_work / self.mean_worth
         room *= OVER_SHARE_ROOM if request.over_share else 1.0
-        return engine.fits(now, size, threads, room) and (
-            not self.thin or self.pool.fits(now, size, threads, room))
+        return engine.fits(now, size, threads, room) and (not self.thin or self.pool.fits(
+            now, size, threads, room / max(LEAST_ADMITTED, request.view.admitted)))
 
     def _seen(self, now: int, event: api.ProbeResult) -> None:
         if (engine := self.engines.get(event.engine)) is None:
@@ -413,8 +415,7 @@
         return (into < self.contract.fall
                 and (turn + engine.entry.engine - self.settings.me) % self.settings.fleet_size == 0)
 
-    def _warmth(self, now: int, engine: Engine) -> float:
-        """The part of its capacity that an engine has; how it rises is not told: late, to be safe."""
+    def _warmth(self, now: int, engine: Engine) -> float:  # of its capacity; the ramp is not told: late
         past = 1 - max(0, engine.cold_until - now) / max(1, self.contract.cold)
         return self.contract.cold_from + (1 - self.contract.cold_from) * max(0.0, past) ** 2
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -303,3 +303,24 @@
         assert h.sends(f"r{i}") or isinstance(h.answers(f"r{i}")[0], api.Refuse)
     h.end("open", api.Result.SERVED)
     assert not h.answers("open")
+
+
+def test_a_class_that_is_refused_more_often_sees_more_of_the_pool() -> None:
+    """Danger: large work that must not run twice was refused three times as often as lookups."""
+    for share, goes in ((1.0, False), (0.4, True)):
+        h = gateways(uids(30))[0]
+        view, pool = h.controller.views["report"], h.controller.pool
+        h.arrive("out", "report", patience=20 * S, estimate=2 * S)
+        h.controller.mean_work, h.controller.mean_worth = 2.0 * S, 10.0  # a report is as the mean
+        pool.full_until, pool.bound, view.admitted = h.now + 99 * S, pool.backlog * 1.5, share
+        h.arrive("r", "report", patience=20 * S, estimate=2 * S)
+        assert bool(h.sends("r")) is goes and (view.admitted > share) is goes
+
+
+def test_what_is_beyond_a_tenants_share_moves_no_class_s_share() -> None:
+    """Danger: a flood that is refused would win room for its class."""
+    h = gateways(uids(30), tenants=(api.Tenant("acme", 0.0),))[0]
+    h.controller.pool.full_until, h.controller.pool.bound = h.now + 99 * S, 0.0
+    for i in range(30):
+        h.arrive(f"r{i}", "lookup", estimate=200 * MS, tenant="acme")
+    assert any(h.answers(f"r{i}") for i in range(30)) and h.controller.views["lookup"].admitted == 1.0
