A broker rests until something falls due instead of waking at every tick

Cause: `Node._tick` (lifecycle/boot.py) armed itself again every 5 ms, whatever there was to do. Ruled out: the probes (0.3 a second and broker), the decisions (2.5 requests a second and broker).

Timers keep their promise: never early, at most a tick late. A node with cells goes on turning at every tick, since its rounds go by it.

--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -314,6 +314,13 @@
             for connection in blocked:
                 connection.flush()
         self._end_later()
+        if self.going or self.blocked:
+            self.wheel.soon()
+
+    def _end_soon(self, attempt: Attempt, result: Result) -> None:
+        """With the next tick."""
+        self.later.append((attempt, result))
+        self.wheel.soon()
 
     def _end_later(self) -> None:
         while self.later:  # an end may order what ends at once
@@ -387,18 +394,18 @@
         attempt = Attempt(request, order.attempt, order.engine, now, now + order.timeout)
         request.attempts[attempt.number] = attempt
         if self.closing:
-            self.later.append((attempt, Result.NOT_SENT))
+            self._end_soon(attempt, Result.NOT_SENT)
             return
         if self.budget is not None and not self._in_budget(self.budget, request, attempt):
             self.tally.stopped[Hand.POOL, Stop.BUDGET] += 1
-            self.later.append((attempt, Result.NOT_SENT))
+            self._end_soon(attempt, Result.NOT_SENT)
             return
         attempt.timer = self.wheel.at(attempt.until - LAST_LOOK * self.wheel.tick,
                                       partial(self._last_look, attempt))
         if (pool := self.pools.get(order.engine)) is not None:
             pool.send(attempt, now)
         else:  # reported with the next tick: an order's failure must not come before the order is done
-            self.later.append((attempt, Result.CONNECT_FAILED))
+            self._end_soon(attempt, Result.CONNECT_FAILED)
 
     def _in_budget(self, budget: Budget, request: OpenRequest, attempt: Attempt) -> bool:
         """A further attempt is paid for; a first one may be cut short where it can be made again."""
@@ -440,7 +447,7 @@
     def _unsent_later(self, attempt: Attempt) -> None:
         if attempt.connection is not None:
             attempt.connection.open.pop(attempt.request.trace, None)
-        self.later.append((attempt, Result.NOT_SENT))
+        self._end_soon(attempt, Result.NOT_SENT)
 
     def _end_scope(self, request: OpenRequest) -> None:
         """Nobody waits for the request any more: nothing unsent of it leaves, what is out is undone where
@@ -466,7 +473,7 @@
         else:
             return
         attempt.ended = True
-        self.later.append((attempt, result))
+        self._end_soon(attempt, result)
 
     def _undo(self, attempt: Attempt, connection: EngineConnection) -> None:
         connection.undo(attempt)
@@ -480,6 +487,7 @@
 
     def stuck(self, connection: EngineConnection) -> None:
         self.blocked[connection] = None
+        self.wheel.soon()
 
     def _cancel(self, id: str, number: int) -> None:
         request = self.requests.get(id)
@@ -554,6 +562,7 @@
         for stage, begun, ended in zip(Stage, marks, marks[1:], strict=False):
             stages.add(route, stage, ended - begun, now)
         self.going.append((client, route, now))
+        self.wheel.soon()
         if len(self.going) == 1:
             asyncio.get_running_loop().call_soon(self._look_at_answers)
 
--- a/larchhall/lifecycle/boot.py
+++ b/larchhall/lifecycle/boot.py
@@ -30,6 +30,7 @@
 BACKLOG = 1_024
 SWEEP = 0.25            # s between looks at idle connections and slow readers
 LAGGED = 100_000_000    # ns; a tick so late is logged
+MS = 1_000_000
 
 
 def raise_descriptors(wanted: int) -> int:
@@ -70,6 +71,8 @@
 class Node:
     """One running broker: the front to clients, the middle, the bus."""
 
+    longest_rest = SWEEP  # s between two ticks where nothing falls due
+
     def __init__(self, config: Config, environ: Mapping[str, str] = os.environ) -> None:
         self.told, self.environ = config, environ
         self.config = config = replace(config, sockets=raise_descriptors(config.sockets))
@@ -88,6 +91,7 @@
         self.listed = False
         self.drain = Drain(self)
         self.leaving = False  # the type 64 has gone out: not ready any more
+        self.next_tick: asyncio.TimerHandle | None = None  # none while one is under way
         self.stopped = asyncio.Event()
         self.ticked = self.swept = self.clock.now()
 
@@ -180,6 +184,7 @@
         gc.freeze()
         self.log("start", f"listening on {self.config.host}:{self.config.port}")
         self.ticked = self.swept = self.clock.now()
+        self.broker.wheel.sooner = self._wake
         self._tick(loop)
         await self.stopped.wait()
         self.log("stop", "done")
@@ -233,14 +238,29 @@
         tick = self.config.settings.tick
         if now - self.ticked > tick + LAGGED:
             self.log("lag", f"the loop stood still for {(now - self.ticked) / 1e6:.0f} ms")
-        self.ticked = now
-        loop.call_later(tick / 1e9, self._tick, loop)
-        self.broker.tick()
-        if self.feed is not None:
-            self.feed.check(now)
-        if now - self.swept > SWEEP * 1e9:
-            self.swept = now
-            self._sweep(now)
+        self.next_tick = None
+        try:
+            self.broker.tick()
+            if self.feed is not None:
+                self.feed.check(now)
+            if now - self.swept > SWEEP * 1e9:
+                self.swept = now
+                self._sweep(now)
+        finally:
+            now = self.clock.now()
+            self._tick_after(loop, self.broker.wheel.rest(now, int(self.longest_rest * 1e9)), now)
+
+    def _tick_after(self, loop: asyncio.AbstractEventLoop, rest: int, now: int) -> None:
+        self.ticked = now + rest
+        # The loop's own timers go by whole milliseconds.
+        self.next_tick = loop.call_later(-(-rest // MS) / 1e3, self._tick, loop)
+
+    def _wake(self) -> None:
+        """Something falls due before the tick that is waited for."""
+        if self.next_tick is not None:
+            self.next_tick.cancel()
+            now = self.clock.now()
+            self._tick_after(asyncio.get_running_loop(), self.broker.wheel.until(now), now)
 
     def _sweep(self, now: int) -> None:
         self.broker.pools.sweep(now)
--- a/larchhall/rooms/node.py
+++ b/larchhall/rooms/node.py
@@ -28,6 +28,8 @@
 
 
 class CelledNode(FiledNode):
+    longest_rest = 0.0  # rounds go on with every tick
+
     def __init__(self, config: Config, said: Evaluated, path: str,
                  environ: Mapping[str, str] = os.environ) -> None:
         assert said.map is not None, "no cells"
--- a/larchhall/state/wheel.py
+++ b/larchhall/state/wheel.py
@@ -38,13 +38,34 @@
     def __init__(self, tick: int, now: int) -> None:
         self.tick, self.origin, self.current = tick, now, 0
         self.slots: list[list[Timer]] = [[] for _ in range(self.SLOTS)]
+        self.rests_until = 0  # the tick at which `advance` is called next
+        self.sooner: Callable[[], None] = _nothing  # called where a timer falls due before that
 
     def at(self, when: int, call: Callable[[], None]) -> Timer:
         due = max(self.current + 1, -((self.origin - when) // self.tick))
         timer = Timer(due, call)
         self.slots[due % self.SLOTS].append(timer)
+        if due < self.rests_until:
+            self.rests_until = due
+            self.sooner()
         return timer
 
+    def soon(self) -> None:
+        """Something waits for the next tick that is no timer."""
+        self.at(0, lambda: None)
+
+    def rest(self, now: int, longest: int) -> int:
+        """How long, in nanoseconds, nothing falls due: `longest` at the most, a tick at the least. Danger:
+        a wheel that turns at every tick wakes an idle broker 200 times a second."""
+        most = max(self.current + 1, (now + longest - self.origin) // self.tick)
+        self.rests_until = next((t for t in range(self.current + 1, most) if any(
+            timer.due <= t and timer.call is not _nothing for timer in self.slots[t % self.SLOTS])), most)
+        return self.until(now)
+
+    def until(self, now: int) -> int:
+        """Nanoseconds to the tick that is rested for."""
+        return max(0, self.origin + self.rests_until * self.tick - now)
+
     def advance(self, now: int) -> None:
         """Fire what is due, tick by tick. Each slot is taken out first: calls may add timers."""
         target = (now - self.origin) // self.tick
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -243,3 +243,26 @@
     assert CliRunner().invoke(main, ["serve"], env=env).exit_code == 0
     expected: list[Any] = [BREATH, 3] if held else [None]
     assert done == expected
+
+
+@on_uvloop
+async def test_an_idle_broker_rests_and_what_falls_due_sooner_wakes_it() -> None:
+    """Counts of ticks, not times: a broker that ticked 200 times a second would fail at any speed."""
+    async with running(make_config()) as rig:
+        node, ticks = rig.node, 0
+        turn = node.broker.tick
+
+        def counted() -> None:
+            nonlocal ticks
+            ticks += 1
+            turn()
+
+        node.broker.tick = counted  # type: ignore[method-assign]
+        begun = node.clock.now()
+        await asyncio.sleep(1.0)
+        assert 1 <= ticks <= 10 * (node.clock.now() - begun) / 1e9
+        fired: list[int] = []
+        node.broker.wheel.at(node.clock.now() + 20_000_000, lambda: fired.append(ticks))
+        before = ticks
+        await until(lambda: bool(fired))
+        assert fired[0] <= before + 3
--- a/tests/test_middle.py
+++ b/tests/test_middle.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from larchhall import facade as f
 from larchhall.broker import Broker
@@ -112,3 +116,42 @@
     lines = capsys.readouterr().err.splitlines()
     assert sum("odd" in line for line in lines) == log.MOST
     assert any("30 more lines" in line for line in lines) and sum("other" in line for line in lines) == 1
+
+
+def test_a_wheel_rests_until_something_falls_due_and_is_woken_for_what_comes_sooner() -> None:
+    """Danger: a wheel that turns at every tick wakes 200 idle brokers 200 times a second each."""
+    wheel, woken = Wheel(5 * MS, 0), []
+    wheel.sooner = lambda: woken.append(wheel.until(0))
+    assert wheel.rest(0, 250 * MS) == 250 * MS
+    wheel.at(400 * MS, lambda: None)
+    assert not woken
+    wheel.at(101 * MS, lambda: None).cancel()
+    assert woken == [105 * MS]
+    assert wheel.rest(0, 250 * MS) == 250 * MS  # what was cancelled wakes nobody
+    wheel.at(150 * MS, lambda: None)
+    wheel.soon()
+    assert woken == [105 * MS, 150 * MS, 5 * MS]
+    wheel.advance(149 * MS)
+    assert wheel.rest(149 * MS, 250 * MS) == MS
+    wheel.advance(150 * MS)
+    assert wheel.rest(150 * MS, 0) == 5 * MS  # a tick at the least, where every one is wanted
+    assert wheel.rest(150 * MS, 500 * MS) == 250 * MS
+
+
+@given(st.lists(st.tuples(st.integers(0, 400), st.integers(0, 700)), max_size=30))
+def test_a_wheel_that_rests_fires_what_one_fires_that_turns_at_every_tick(
+        plan: list[tuple[int, int]]) -> None:
+    """Timers set at any moment of a rest; times in milliseconds."""
+    wheel, due, late = Wheel(5 * MS, 0), list[int](), list[int]()
+    coming = sorted(plan)
+    wheel.rest(0, 250 * MS)
+    for now in range(1_200):
+        while coming and coming[0][0] <= now:
+            _, after = coming.pop(0)
+            wheel.at((now + after) * MS, partial(due.append, now + after))
+        if wheel.until(now * MS) == 0:
+            wheel.advance(now * MS)
+            late += [now - at for at in due]
+            due.clear()
+            wheel.rest(now * MS, 250 * MS)
+    assert len(late) == len(plan) and all(0 <= by <= 10 for by in late)
