--- a/larchhall/config.py
+++ b/larchhall/config.py
@@ -129,10 +129,11 @@
     special, limits, contract, charges = (
         get(facts, key, "object", {}) for key in ("specifics", "policy_limits", "contract", "charges"))
     classes = get(facts, "classes", "list")
+    fleet = get(facts, "fleet_size", "whole number")
     return api.Settings(
         classes=tuple(_class_settings(c, i, special) for i, c in enumerate(classes)),
-        fleet_size=get(facts, "fleet_size", "whole number"), tick=get(facts, "tick", "whole number"),
-        me=get(facts, "me", "whole number", 0), zone=get(facts, "zone", "text", ""),
+        fleet_size=fleet, tick=get(facts, "tick", "whole number"),
+        me=get(facts, "me", "whole number", 0) % max(1, fleet), zone=get(facts, "zone", "text", ""),
         contract=api.Contract(**_renamed(contract, "contract", {
             "answer_slack": ("answer_slack", "whole number"), "drain_grace": ("drain_grace", "whole number"),
             "cold_from": ("start_capacity", "number"), "cold": ("cold", "whole number"),
@@ -179,6 +180,13 @@
     def tick(self) -> int:
         return self.settings.tick
 
+    def remarks(self) -> list[str]:
+        """What is taken otherwise than it was told, a line each: a fleet that grows or shrinks may tell the
+        size and the places in it at different times, and that is no reason not to serve."""
+        me, last = self.settings.me, self.settings.fleet_size - 1
+        told = get(self.told.get("settings", {}), "settings.me", "whole number", me)
+        return [] if told == me else [f"settings.me: {told} is outside 0 to {last}: taken as {me}"]
+
 
 def _address(text: str, key: str) -> tuple[str, int]:
     try:
--- a/larchhall/lifecycle/boot.py
+++ b/larchhall/lifecycle/boot.py
@@ -182,6 +182,8 @@
         # What lives as long as the process is no work for the collector: it would stop the loop for it.
         gc.collect()
         gc.freeze()
+        for remark in self.config.remarks():
+            self.log("config", remark)
         self.log("start", f"listening on {self.config.host}:{self.config.port}")
         self.ticked = self.swept = self.clock.now()
         self.broker.wheel.sooner = self._wake
@@ -217,6 +219,8 @@
             self._turned_down(f"{type(error).__name__}: {error}")
             return
         self.broker.figures.reloads_taken += 1
+        for remark in read.remarks():
+            self.log("config", remark)
         fixed = waiting_for_restart(self.told, read)
         self.config = self.broker.config
         self.log("reload", "done" + (f"; with the next start only: {', '.join(fixed)}" if fixed else ""))
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -56,7 +56,9 @@
     ("limits.sockets", 1, "limits.sockets"), ("known.offset", 1.5, "known.offset"),
     ("known.batch", [{}], "known.batch"), ("settings", None, "settings"),
     ("settings.tick", "5", "settings.tick"), ("settings.tick", 0, "settings.tick"),
-    ("settings.fleet_size", True, "settings.fleet_size"), ("settings.classes", [], "settings.classes"),
+    ("settings.fleet_size", True, "settings.fleet_size"), ("settings.fleet_size", 0, "settings.fleet_size"),
+    ("settings.fleet_size", -3, "settings.fleet_size"), ("settings.me", 0.5, "settings.me"),
+    ("settings.classes", [], "settings.classes"),
     ("settings.classes.0.aim", None, "settings.classes.aim"),
     ("settings.classes.0.worth", float("nan"), "settings.classes.worth"),
     ("settings.classes.1.effect", "odd", "settings.classes.effect"),
@@ -77,6 +79,16 @@
     assert str(caught.value).startswith(f"{key}: ")
 
 
+@pytest.mark.parametrize(("me", "fleet", "taken"), [(0, 1, 0), (199, 200, 199), (200, 200, 0), (-1, 9, 8)])
+def test_a_place_outside_the_fleet_is_taken_within_it(me: int, fleet: int, taken: int) -> None:
+    """A fleet that grows or shrinks may tell its size and the places in it at different times."""
+    raw = changed("settings.fleet_size", fleet)
+    raw["settings"]["me"] = me
+    config = parse(raw, {})
+    assert config.settings.me == taken
+    assert len(config.remarks()) == (me != taken) and all("settings.me" in line for line in config.remarks())
+
+
 def test_a_price_that_is_absent_counts_as_nothing() -> None:
     assert parse(RAW, {}).settings.handshake_price == 0.0
     assert parse(changed("settings.charges", {"handshake": 0.08}), {}).settings.handshake_price == 0.08
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import random
 from collections import Counter
 from typing import Any
@@ -22,11 +23,11 @@
     return random.Random(seed).sample(range(1 << 32), count)
 
 
-def gateways(engines: list[int], fleet: int = FLEET, **more: Any) -> list[Harness]:
+def gateways(engines: list[int], fleet: int = FLEET, only: int | None = None, **more: Any) -> list[Harness]:
     return [Harness(make_settings(*CLASSES, fleet_size=fleet, me=me, kind_cores=(("box", CORES),),
                                   contract=CONTRACT, **more),
                     *(entry(e, zone="ab"[i % 2]) for i, e in enumerate(engines)), seed=me)
-            for me in range(fleet)]
+            for me in (range(fleet) if only is None else [only])]
 
 
 @pytest.mark.parametrize(("listed", "fresh", "brokers"), [
@@ -404,3 +405,46 @@
     assert engine.load() > 0.8
     h.pass_time(2 * S)
     assert engine.load() == 0.0
+
+
+def test_seven_in_ten_brokers_return_with_empty_books_and_engines_stay_in_hand() -> None:
+    """Danger: they know nothing of what the dead have running, all start at the same bound and at one moment.
+    Engines share their cores among all threads; what a dead broker sent runs on."""
+    engines, draw = uids(80), random.Random(4)
+    fleet, read = gateways(engines, 200, limits=PROBES), [0] * 200
+    held: Counter[int] = Counter()
+    ends: list[tuple[int, int, int, Harness, api.Send, int, int]] = []
+    sums, peaks = list[int](), list[int]()
+    began, count, kill = fleet[0].now, 0, 80
+    for step in range(150):
+        if step == kill:
+            for me in draw.sample(range(200), 140):
+                fleet[me], read[me] = gateways(engines, 200, only=me, limits=PROBES)[0], 0
+        now = began + step * 100 * MS
+        while ends and ends[0][0] <= now:
+            _, _, threads, h, send, number, sent = heapq.heappop(ends)
+            held[send.engine] -= threads
+            if h in fleet:
+                h.end(send.request, api.Result.SERVED, attempt=number, latency=now - sent)
+        for me, h in enumerate(fleet):
+            h.pass_time(now - h.now)
+            if draw.random() < 0.25:
+                name, work = ("report", 2 * S) if draw.random() < 0.15 else ("lookup", 200 * MS)
+                h.arrive(f"{step}", name, patience=20 * S, estimate=int(work * draw.uniform(0.5, 1.5)))
+            for _, action in h.log[read[me]:]:
+                if isinstance(action, api.Send):
+                    request = h.controller.requests[action.request]
+                    threads = request.spec.threads
+                    held[action.engine] += threads
+                    crowd = max(1.0, held[action.engine] / CORES)
+                    count += 1
+                    heapq.heappush(ends, (now + int(request.run_time() * crowd), count, threads, h, action,
+                                          h.sends(action.request).index(action), now))
+            read[me] = len(h.log)
+        sums.append(sum(held.values()))
+        peaks.append(max(held.values()))
+    usual = sum(sums[60:kill]) / (kill - 60)
+    assert 0.2 * 80 * CORES < usual < 80 * CORES  # there is load, and no overload
+    assert max(sums[kill:]) < 1.5 * usual  # nor any when they return
+    assert max(peaks[kill:]) < 4 * CORES
+    assert sum(sums[-20:]) / 20 < 1.2 * usual  # five seconds later it is as before
