Budget of a cold engine follows its warming with few brokers too

Ruled out: the engines' own bounds (not asked, nothing was able), descriptors, suspects (one of six).

With the ramp taken as late as the square of time, and a third of the contract at the end, the sum stays within multiple x start_capacity for any ramp where start_capacity is a third or more.

--- a/larchhall/brain.py
+++ b/larchhall/brain.py
@@ -396,10 +396,10 @@
         rules = self.contract
         if now >= engine.cold_until or rules.fall <= 0:
             return True
-        budget = engine.cores * rules.fall * rules.fall_multiple
-        mine = (rules.cold_from * budget / COLD_SAFETY / self.settings.fleet_size if not self.thin else
-                self._our_turn(now, engine) * self._warmth(now, engine) * budget / TURN_SAFETY / self.owners)
-        return engine.cold_sends.at(now) + engine.beside.cold + work <= mine
+        budget = engine.cores * rules.fall * rules.fall_multiple * self._warmth(now, engine)
+        part = (self._our_turn(now, engine) / TURN_SAFETY / self.owners if self.thin else
+                1 / COLD_SAFETY / self.settings.fleet_size)
+        return engine.cold_sends.at(now) + engine.beside.cold + work <= budget * part
 
     def _our_turn(self, now: int, engine: Engine) -> bool:
         turn, into = divmod(now + engine.entry.engine, TURN * self.contract.fall)  # not all engines in step
--- a/larchhall/state/requests.py
+++ b/larchhall/state/requests.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from ..deadlines.scopes import Kind, Scope
-from ..interface import NoteKind
+from ..facade import NoteKind
 from .wheel import Timer
 
 if TYPE_CHECKING:
