Errors weigh in the draw; few engines are not held out for them, nor tried again where they erred

Under pressure no other took what it had erred ("lookup further sends 2 erred 2 fit 1": the one fit was the engine itself): two errors there and the request was refused, and nothing was learned. Lines: brain.py _judge (the loop over request.erred), _further (`or able`, `not e.pressed`), _weight.

Taken: a share of errors of its own in the draw, more so for unsafe work, which is lost there; no further attempt where it erred; what erred is admitted elsewhere like a new one. With many brokers, whose trials are probes, as before.

--- a/larchhall/brain.py
+++ b/larchhall/brain.py
@@ -160,6 +160,7 @@
     cores: int
     out: dict[tuple[str, int], Attempt] = field(default_factory=dict)
     failures: float = 0.0
+    erring: float = 0.0          # the fading share of errors among its answers
     report: api.LoadReport | None = None
     threads_since_report: int = 0
     cold_until: int = 0
@@ -287,8 +288,7 @@
         fit = [e for e in fit if not (e.counted or e.suspect)] or fit  # cold: what our turn leaves is lost
         sent = bool(fit) and self._send(now, request, self._draw(request, fit))
         request.view.admitted += ERROR_LEARN * (sent - request.view.admitted) * (not request.over_share)
-        if not sent:
-            self._finish(now, request)
+        self._finish(now, request) if not sent else None
 
     def _fits(self, now: int, request: Request, engine: Engine) -> bool:
         """The design's test. Work beyond a tenant's share sees a smaller bound, under pressure only."""
@@ -318,9 +318,10 @@
 
     def _weight(self, request: Request, engine: Engine) -> float:
         groups = (engine.entry.zone, engine.entry.kind) if self.thin else ()
-        failing = max(0.0, engine.failures, *(self.groups[g] for g in groups))
+        failing = max(engine.failures, engine.erring, *(self.groups[g] for g in groups))
         weight = engine.cores * ((1 - failing) / (IDLE_LOAD + engine.load())) ** SHARPNESS
         weight /= max(1.0, engine.slowdown / engine.best) * engine.slowdown
+        weight *= (1 - failing) ** (SHARPNESS * (request.spec.effect is Effect.UNSAFE))  # it would be lost
         if engine.entry.zone != self.settings.zone:
             weight /= 1 + FOREIGN_COST * self.settings.cross_zone_price
         if request.data_set >= 0:
@@ -519,6 +520,8 @@
                 loop.delays.append(TIMEOUT_SCORE)
         if bad or event.result is Result.SERVED:
             self._blame(engine, bad)
+        if event.result in (Result.ERROR, Result.SERVED):
+            engine.erring += ERROR_LEARN * ((event.result is Result.ERROR) - engine.erring)
         if event.result is Result.ERROR:
             request.erred.append(engine)
         elif event.result is Result.FULL:
@@ -528,7 +531,7 @@
             self._suspect(now, engine, True)
         if event.result is not Result.SERVED:
             return
-        for other in request.erred:  # danger: an error may be the client's fault, but not where served
+        for other in request.erred if self.by_probe else ():  # few engines: each is worth its good half
             self._blame(other, True)
             self._suspect(now, other, other.suspect or other.failures > ONE_RESET)
         engine.last_sign = now
@@ -554,8 +557,8 @@
         """Another attempt where the rules allow. Danger: repeats feed the jam that caused them: none under
         pressure or too late to be over in time, none of what two engines answered with an error."""
         able = [e for e in self._within_reach(now) if self._may_send(now, request, e)
-                and (self._fits(now, request, e) if self.thin else not e.pressed(now))]
-        fit = [e for e in able if e.entry.engine not in request.tried] or able
+                and (self._fits(now, request, e) if self.thin or request.erred else not e.pressed(now))]
+        fit = [e for e in able if e.entry.engine not in request.tried] or able * (not request.erred)
         return (bool(fit) and len(request.erred) < 2 and request.deadline - now > request.run_time()
                 and self._send(now, request, self._draw(request, fit)))
 
@@ -621,10 +624,8 @@
         used = {e.entry.engine for e in self.near}
         for engine in self.engines.values() if self.by_probe else ():
             engine.report = None  # danger: our sends since would add up for good
-            if engine.suspect and now >= engine.next_trial and engine.entry.engine in used:
-                self._ask(now, engine)
-            elif engine.suspect and now >= engine.next_trial:  # danger: not in use, it would stay so
-                self._suspect(now, engine, False)
+            if engine.suspect and now >= engine.next_trial:  # danger: not in use, it would stay so
+                self._ask(now, engine) if engine.entry.engine in used else self._suspect(now, engine, False)
         for loop in (*self.engines.values(), self.pool):
             loop.move()
 
@@ -707,7 +708,7 @@
     def _renew(self, now: int, engine: Engine, started: int) -> None:
         """Another process under the same id: cold, and nothing that was learned of the last one holds."""
         engine.suspect, engine.slowdown, engine.best, engine.failures = False, 1.0, 1.0, 0.0
-        engine.report, engine.full_until, engine.born = None, 0, min(now, started)
+        engine.report, engine.full_until, engine.born, engine.erring = None, 0, min(now, started), 0.0
         engine.last_sign = max(engine.last_sign, engine.born)
         engine.cold_until = max(engine.cold_until, started + self.contract.cold)
 
