--- a/larchhall/config.py
+++ b/larchhall/config.py
@@ -39,6 +39,35 @@
     "kind_cores": "specifics.size_cores"}
 
 
+# The keys under `settings`, by the object that holds them: those that are read, and those that a deployment
+# may hold and nothing here needs. Whatever else is there is named in the log: nothing is silently unread.
+READ = {
+    "": {"classes", "tenants", "contract", "policy_limits", "specifics", "charges", "report", "kinds",
+         "fleet_size", "tick", "me", "zone", "over_share_worth"},
+    "classes": {"name", "aim", "aim_stretch", "deadline", "worth", "late_value", "effect", "group", "window",
+                "fifo_by_key", "zones_only", "kinds_allowed"},
+    "tenants": {"name", "allowance_per_s"},
+    "contract": {"answer_slack", "drain_grace", "start_capacity", "cold", "fall", "fall_multiple", "key_rest",
+                 "ratio_span", "budget_free", "extra_ratio"},
+    "policy_limits": {"cancel", "probing", "peer_messages", "second_copies", "retry_after", "send_cap",
+                      "max_retry_after", "connect_timeout", "conn_idle", "streams_per_conn"},
+    "specifics": {"size_cores", "parallelism", "is_load", "blocked_by_loads", "memory_heeded", "lanes_count"},
+    "charges": {"cross_zone", "handshake"}, "report": {"fields"}}
+NOT_NEEDED = {
+    "": {"callers", "kind_of_service", "layers", "tier", "membership_mode", "score_parts", "weights",
+         "worth_by", "zones"},
+    "classes": {"streaming"}, "tenants": {"portion"}, "contract": {"must_ask_in"},
+    "policy_limits": {"cpu_us_per_request", "cpu_us_per_s", "max_open"},
+    "specifics": {"kind_memory_mb", "largest_share", "notes", "tells_every", "report_x0", "report_x1",
+                  "says_cost", "on_shortage"},
+    "charges": {"connection", "membership_mode", "fleet", "late_fail", "moves", "origin", "peer", "probe",
+                "waste"},
+    "report": {"via"}}
+# What engines may tell of their load, by the simulator's names and the engines' own.
+REPORTED = {"busy", "util", "q", "queue", "x0", "x1", "rif", "inflight", "lat_ms", "latency_ms", "rate",
+            "qps", "fail_rate", "eps"}
+
+
 class ConfigError(ValueError):
     """``key: problem``"""
 
@@ -129,6 +158,7 @@
     special, limits, contract, charges = (
         get(facts, key, "object", {}) for key in ("specifics", "policy_limits", "contract", "charges"))
     classes = get(facts, "classes", "list")
+    listed(get(facts, "report", "object", {}), "report.fields", "text")
     fleet = get(facts, "fleet_size", "whole number")
     return api.Settings(
         classes=tuple(_class_settings(c, i, special) for i, c in enumerate(classes)),
@@ -186,7 +216,23 @@
         size and the places in it at different times, and that is no reason not to serve."""
         me, last = self.settings.me, self.settings.fleet_size - 1
         told = get(self.told.get("settings", {}), "settings.me", "whole number", me)
-        return [] if told == me else [f"settings.me: {told} is outside 0 to {last}: taken as {me}"]
+        facts = self.told.get("settings", {})
+        return ([] if told == me else [f"settings.me: {told} is outside 0 to {last}: taken as {me}"]) + [
+            f"settings.{key}: is not known here, and has no effect" for key in unknown(facts)] + [
+            f"settings.report.fields: {name!r} is no value that is known here, and has no effect"
+            for name in (facts.get("report") or {}).get("fields", []) if name not in REPORTED]
+
+
+def unknown(facts: Mapping[str, Any]) -> list[str]:
+    """The keys of the settings that are neither read nor known as not needed, each once."""
+    found: dict[str, None] = {}
+    for part, read in READ.items():
+        held = facts.get(part, {}) if part else facts
+        for source in held if isinstance(held, list) else [held]:
+            for key in source if isinstance(source, dict) else ():
+                if key not in read and key not in NOT_NEEDED.get(part, ()):
+                    found[f"{part}.{key}" if part else key] = None
+    return list(found)
 
 
 def _address(text: str, key: str) -> tuple[str, int]:
--- a/larchhall/standins/client.py
+++ b/larchhall/standins/client.py
@@ -26,6 +26,7 @@
     answered: int = 0
     answers: int = 0
     pause: int = 0
+    nonce: str = ""
 
     def in_time(self, aim: int) -> bool:
         return self.code == frames.SERVED and self.answered - self.sent <= aim
@@ -58,7 +59,10 @@
         self.stream += 1
         self.open[self.stream] = asked
         fields = {"route": asked.route, "trace": asked.trace, "patience": str(asked.patience // 1_000_000),
-                  "customer": asked.tenant, "weight": f"{weight:.1f}", "ram": "16"}
+                  "weight": f"{weight:.1f}", "ram": "16"}
+        for name, value in (("customer", asked.tenant), ("nonce", asked.nonce)):
+            if value:
+                fields[name] = value
         self.transport.write(frames.frame(frames.REQUEST, self.stream,
                                           frames.write_fields(fields) + statement))
 
@@ -112,10 +116,10 @@
         return counter
 
     async def ask(self, tenant: str, route: str, work_ms: float, patience: int, *, threads: int = 1,
-                  weight: float | None = None, rows: int = 1, group: int = 1) -> Asked:
-        """``weight``: the estimate that is told, where it is not the true work."""
+                  weight: float | None = None, rows: int = 1, group: int = 1, nonce: str = "") -> Asked:
+        """``weight``: the estimate that is told, where it is not the true work; ``nonce``: the key."""
         number = next(self.ids)
-        asked = Asked(f"{number:016x}", tenant, route, time.time_ns(), patience)
+        asked = Asked(f"{number:016x}", tenant, route, time.time_ns(), patience, nonce=nonce)
         statement = (f"SELECT * FROM sales_{group}.orders /* id={number} work={work_ms:.0f} "
                      f"threads={threads} rows={rows} */").encode()
         counter = next((c for c in self.counters if c.usable()), None)
--- a/larchhall/standins/engine.py
+++ b/larchhall/standins/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import re
 import time
 from collections import Counter
@@ -16,6 +17,7 @@
 WORK = re.compile(rb"work=(\d+)")       # milliseconds, in the statement: `/* work=120 threads=2 rows=3 */`
 THREADS = re.compile(rb"threads=(\d+)")
 ROWS = re.compile(rb"rows=(\d+)")
+MEMORY = re.compile(rb"mem=(\d+)")      # megabytes
 PAGE = 6_000                            # bytes of a page at the most
 Script = Callable[["ScriptedEngine", list[bytes], asyncio.StreamWriter], Any]
 
@@ -56,6 +58,19 @@
         return [parts for parts in self.seen if parts[0] == word]
 
 
+class Keys:
+    """What the engines of a fleet know together of keys: a repeat within the window of a first run that is
+    under way or over is not run again; it is answered as served, with no rows."""
+
+    def __init__(self, window: int) -> None:
+        self.window, self.first, self.dropped = window, dict[str, int](), 0
+
+    def repeat(self, nonce: str, now: int) -> bool:
+        known = bool(nonce) and now - self.first.get(nonce, -self.window) < self.window
+        self.dropped += known
+        return known
+
+
 class EngineProtocol(asyncio.Protocol):
     def __init__(self, engine: MachineEngine) -> None:
         self.engine, self.parser = engine, resp.RespParser()
@@ -79,9 +94,16 @@
 
 
 class MachineEngine:
-    """A data engine with a machine behind it. ``sent``: when each query arrived, for the rule on drains."""
-
-    def __init__(self, uid: str, machine: Machine | None = None, honours_cancel: bool = False) -> None:
+    """A data engine with a machine behind it. ``sent``: when each query arrived, for the rule on drains.
+    ``tells_every``: ns between notes of each query, 0: none. ``bad_plans``: the share of attempts that take
+    so many times their work, drawn for each anew."""
+
+    def __init__(self, uid: str, machine: Machine | None = None, honours_cancel: bool = False,
+                 keys: Keys | None = None, tells_every: int = 0, bad_plans: tuple[float, float] = (0.0, 1.0)
+                 ) -> None:
+        self.keys, self.tells_every, self.bad_plans = keys, tells_every, bad_plans
+        self.draws = random.Random(uid)
+        self.noting: asyncio.TimerHandle | None = None
         self.uid, self.machine, self.honours_cancel = uid, machine or Machine(), honours_cancel
         self.connections: set[EngineProtocol] = set()
         self.askers: dict[bytes, EngineProtocol] = {}
@@ -102,8 +124,11 @@
         """The process dies: its connections are reset, its pages are lost."""
         if self.server is not None:
             self.server.close()
-        if self.timer is not None:
-            self.timer.cancel()
+        for timer in (self.timer, self.noting):
+            if timer is not None:
+                timer.cancel()
+        for run in self.machine.running.values():
+            self._forget_key(run.nonce)
         for connection in list(self.connections):
             if connection.transport is not None:
                 connection.transport.abort()
@@ -128,6 +153,8 @@
         elif word == b"forget":
             self.pages.pop(parts[1], None)
         elif word == b"undo" and self.honours_cancel:
+            if (run := self.machine.running.get(parts[1])) is not None:
+                self._forget_key(run.nonce)
             self._finish(self.machine.drop(now, parts[1]))
             self.askers.pop(parts[1], None)
             self._look()
@@ -140,13 +167,40 @@
             return int(found[1]) if (found := pattern.search(statement)) else default
 
         self._finish(self.machine.pass_time(now))
-        threads = said(THREADS, 1)
-        if not self.machine.arrive(now, id, fields.get("cls", "").encode(), statement,
-                                   said(WORK, 1) * MS, threads):
+        threads, nonce = said(THREADS, 1), fields.get("nonce", "")
+        if self.keys is not None and self.keys.repeat(nonce, now):
+            connection.write(id, b"served", b"chunks=1,spent=0,wanted=0", b"")
+            return
+        share, times = self.bad_plans
+        work = said(WORK, 1) * MS * (times if self.draws.random() < share else 1.0)
+        if self.keys is not None and nonce:
+            self.keys.first[nonce] = now
+        if not self.machine.arrive(now, id, fields.get("cls", "").encode(), statement, work, threads, nonce):
+            self._forget_key(nonce)
             connection.write(id, b"overload", b"meter=" + self.machine.report().encode(), b"")
             return
         self.askers[id] = connection
         self._look()
+        if self.tells_every and self.noting is None:
+            self._note_later()
+
+    def _forget_key(self, nonce: str) -> None:
+        """Its run never began, was stopped, or died with the engine."""
+        if self.keys is not None:
+            self.keys.first.pop(nonce, None)
+
+    def _note_later(self) -> None:
+        self.noting = asyncio.get_running_loop().call_later(self.tells_every / 1e9, self._tell)
+
+    def _tell(self) -> None:
+        """A note for each query that is not over."""
+        self.noting = None
+        for id, run in self.machine.running.items():
+            if id in self.askers and not self.silent:
+                done = max(0.0, 1 - run.left / max(1.0, run.work * self.machine.slow))
+                self.askers[id].write(id, b"update", b"tell=pct,amount=%.3f" % done, b"")
+        if self.machine.running:
+            self._note_later()
 
     def _look(self) -> None:
         """One timer, for the query that ends first."""
@@ -169,8 +223,10 @@
             pages = _pages(int(rows[1]) if rows else 1)
             if len(pages) > 1:
                 self.pages[run.id] = pages
-            connection.write(run.id, b"served", b"chunks=%d,spent=%d,wanted=1,meter=%b" % (
-                len(pages), run.work // MS, self.machine.report().encode()), pages[0])
+            memory = MEMORY.search(run.statement)
+            connection.write(run.id, b"served", b"chunks=%d,spent=%d,wanted=%d,meter=%b" % (
+                len(pages), run.work // MS, int(memory[1]) if memory else 1,
+                self.machine.report().encode()), pages[0])
 
 
 def _pages(rows: int) -> list[bytes]:
@@ -179,6 +235,12 @@
     return [b"".join(lines[i:i + each]) for i in range(0, max(1, len(lines)), each)]
 
 
+def key_ran_twice(engines: list[MachineEngine]) -> list[str]:
+    """Keys that ran to their end more than once, over all ledgers."""
+    counts = Counter(run.nonce for e in engines for run in e.machine.ledger if run.nonce and run.left <= 1.0)
+    return [nonce for nonce, count in counts.items() if count > 1]
+
+
 def ran_twice(engines: list[MachineEngine], cls: bytes) -> list[bytes]:
     """Statements of a class that began more than once, over all ledgers. Each carries an id of its own."""
     counts = Counter(run.statement for e in engines for run in e.machine.ledger if run.cls == cls)
--- a/larchhall/standins/machine.py
+++ b/larchhall/standins/machine.py
@@ -26,6 +26,7 @@
     threads: int
     ended: int = 0
     left: float = 0.0
+    nonce: str = ""
 
 
 @dataclass(slots=True)
@@ -50,7 +51,8 @@
             return 1.0
         return self.cold_from + (1 - self.cold_from) * max(0, now - self.started) / self.cold
 
-    def arrive(self, now: int, id: bytes, cls: bytes, statement: bytes, work: float, threads: int) -> bool:
+    def arrive(self, now: int, id: bytes, cls: bytes, statement: bytes, work: float, threads: int,
+               nonce: str = "") -> bool:
         """Take a query; False: the engine is full, and it never ran."""
         self.pass_time(now)
         if self.started and now < self.started + self.cold:
@@ -62,7 +64,7 @@
                 self.fallen = True
         if len(self.running) >= self.sessions or id in self.running:
             return False
-        run = Run(id, cls, statement, now, work, threads, left=work * self.slow)
+        run = Run(id, cls, statement, now, work, threads, left=work * self.slow, nonce=nonce)
         self.ledger.append(run)
         self.running[id] = run
         return True
--- a/larchhall/standins/world.py
+++ b/larchhall/standins/world.py
@@ -37,7 +37,9 @@
 class World:
     """Engines and their bus. All engines that there ever were stay in ``engines``, for their ledgers."""
 
-    def __init__(self) -> None:
+    def __init__(self, **engines: Any) -> None:
+        """``engines``: what each engine is made with."""
+        self.made_with = engines
         self.bus = ListBus()
         self.engines: dict[str, MachineEngine] = {}
         self.bus_port = 0
@@ -49,7 +51,7 @@
     async def add(self, *uids: str, cores: int = 8, cold: bool = False, **more: Any) -> None:
         """Engines join; ``cold``: they have started just now."""
         now = time.time_ns() if cold else 0
-        made = [MachineEngine(uid, Machine(cores=cores, started=now)) for uid in uids]
+        made = [MachineEngine(uid, Machine(cores=cores, started=now), **self.made_with) for uid in uids]
         for engine in made:
             self.engines[engine.uid] = engine
             await engine.start()
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -9,9 +9,10 @@
 
 import pytest
 
-from larchhall.config import DEFAULT_SOCKETS, ConfigError, load, parse
+from larchhall.config import DEFAULT_SOCKETS, NOT_NEEDED, READ, ConfigError, load, parse
 from larchhall.interface import Effect
 
+from . import deployments
 from .sockets import MS, event, settings, target
 
 RAW: dict[str, Any] = {
@@ -105,3 +106,70 @@
         load({})
     path.write_text(json.dumps(RAW))
     assert load({"PROXY_CONFIG": str(path)}).name == "n3"
+
+
+class Watched(dict[str, Any]):
+    """Notes which of its keys are read."""
+
+    def __init__(self, held: dict[str, Any], part: str, seen: dict[str, set[str]]) -> None:
+        super().__init__({key: watched(value, part or key, seen) for key, value in held.items()})
+        self.part, self.seen = part, seen
+
+    def get(self, key: str, default: Any = None) -> Any:
+        self.seen.setdefault(self.part, set()).add(key)
+        return super().get(key, default)
+
+
+def watched(value: Any, part: str, seen: dict[str, set[str]]) -> Any:
+    if isinstance(value, dict):
+        return Watched(value, part, seen)
+    return [watched(inner, part, seen) for inner in value] if isinstance(value, list) else value
+
+
+# What a deployment's settings may hold, by the platform's pages.
+TOLD = {
+    "": """fleet_size classes callers membership_mode kind_of_service specifics score_parts kinds
+        policy_limits me over_share_worth charges report contract tenants tick tier layers weights worth_by
+        zone zones""",
+    "classes": """aim_stretch aim deadline effect group fifo_by_key late_value name kinds_allowed
+        zones_only streaming window worth""",
+    "specifics": """is_load parallelism blocked_by_loads memory_heeded size_cores kind_memory_mb
+        largest_share notes lanes_count tells_every report_x0 report_x1 says_cost on_shortage""",
+    "policy_limits": """cancel conn_idle connect_timeout cpu_us_per_request cpu_us_per_s send_cap max_open
+        max_retry_after peer_messages probing retry_after second_copies streams_per_conn""",
+    "contract": """answer_slack must_ask_in budget_free extra_ratio ratio_span start_capacity cold
+        drain_grace fall_multiple fall key_rest""",
+    "charges": """connection cross_zone membership_mode fleet handshake late_fail moves origin peer probe
+        waste""",
+    "report": "fields via", "tenants": "name allowance_per_s portion"}
+
+
+def test_every_key_that_a_deployment_tells_is_read_or_named_as_not_needed() -> None:
+    """Danger: a key of the second deployment that nobody read was found by the day that it voided."""
+    seen: dict[str, set[str]] = {}
+    for facts in deployments.ALL.values():
+        told = {**facts, "charges": {"cross_zone": 0.1, "handshake": 0.0}}
+        parse({"listen": "127.0.0.1:1", "settings": watched(told, "", seen)}, {})
+    assert seen == READ
+    for part, names in TOLD.items():
+        assert set(names.split()) == READ[part] | NOT_NEEDED.get(part, set()), part
+        assert not READ[part] & NOT_NEEDED.get(part, set())
+
+
+@pytest.mark.parametrize(("path", "value", "named"), [
+    ("settings.fairness", 1, "settings.fairness"),
+    ("settings.contract.never_twice", 5, "settings.contract.never_twice"),
+    ("settings.classes.0.priority", 3, "settings.classes.priority"),
+    ("settings.report.fields", ["q", "warmth"], "'warmth'")])
+def test_what_is_not_known_is_one_warning_that_names_it(path: str, value: Any, named: str) -> None:
+    (line,) = parse(changed(path, value), {}).remarks()
+    assert named in line and "has no effect" in line
+    assert parse(RAW, {}).remarks() == []
+
+
+@pytest.mark.parametrize(("path", "value"), [
+    ("settings.classes.0.effect", "twice"), ("settings.classes.0.group", "planet"),
+    ("settings.report.fields", [1]), ("settings.report", 3), ("settings.specifics.lanes_count", "yes")])
+def test_an_effect_a_scope_or_a_kind_that_is_not_known_is_a_faulty_key(path: str, value: Any) -> None:
+    with pytest.raises(ConfigError, match=path.replace(".0.", ".").split(".")[-1]):
+        parse(changed(path, value), {})
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -16,6 +16,10 @@
 from larchhall.broker import Ask, Broker, Unusable
 from larchhall.config import parse
 from larchhall.deadlines.gates import Hand
+from larchhall.standins.client import Book
+from larchhall.standins.engine import Keys, key_ran_twice
+from larchhall.standins.world import World
+from larchhall.standins.world import config as world_config
 from larchhall.state.pools import EnginePool
 from larchhall.state.requests import Client as Asker
 from larchhall.state.requests import OpenRequest
@@ -128,6 +132,33 @@
         assert not [line for line in rig.logged if line.startswith("engine")]
 
 
+@on_uvloop
+async def test_keyed_loads_run_once_to_their_end_while_engines_fail_drain_and_plan_badly() -> None:
+    """All that the second deployment's engines do, together; the ledgers are the judge."""
+    world = World(honours_cancel=True, keys=Keys(20 * S), tells_every=50 * MS, bad_plans=(0.1, 15.0))
+    await world.start("s-1", "s-2", "s-3", "s-4")
+    raw = world_config(world, "127.0.0.1:1", **deployments.WAREHOUSE)
+    async with running(parse(raw, {})) as rig:
+        book = Book("127.0.0.1", rig.port)
+        for i in range(200):
+            route, rows = ("load", 1) if i % 4 == 0 else ("lookup", 900)
+            await book.ask("", route, 20, 4_000 * MS, rows=rows, nonce=f"{i:032x}" if route == "load" else "")
+            if i == 60:
+                world.end("s-1")
+            if i == 120:
+                world.drain("s-2")
+            await asyncio.sleep(0.003)
+        await book.settle(10)
+        book.close()
+    world.stop()
+    engines = list(world.engines.values())
+    assert not [a for a in book.asked if a.answers != 1] and not book.strays
+    assert sum(a.code == frames.SERVED for a in book.asked) > 180
+    assert not key_ran_twice(engines) and world.sent_after_drain(550 * MS) == 0
+    assert {run.nonce for e in engines for run in e.machine.ledger if run.cls == b"load"} <= {
+        a.nonce for a in book.asked}
+
+
 # --- orders of events ---
 
 class Transport:
