--- /dev/null
+++ b/benchmarks/start.py
@@ -0,0 +1,213 @@
+"""What a mass start costs the list service and the engines: `python -m benchmarks.start [--quick]`.
+
+Real processes of this program, started within a second, before stand-ins for the bus and the engines, beside
+the program as it was (`--base REV`); and the same decisions for up to 1,000 brokers on a simulated clock.
+`--plot FILE` draws the calls a second over time (extra `plots`).
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import heapq
+import random
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from larchhall.standins.client import Book
+from larchhall.standins.fleet import ROOT, Fleet
+from larchhall.standins.links import Link, Script
+from larchhall.standins.world import World, config
+from larchhall.start.paces import Calls, probe_at, window
+from larchhall.start.ramp import Ramp
+from larchhall.start.terms import StartTerms
+
+from .harness import Figures, worktree
+
+MS = 1_000_000
+S = 1_000 * MS
+BASE = "4131f1a"   # the last commit before starts were paced
+RATE = 50.0        # calls a second on the list service
+SCRIPT = f"start(list_connects = {RATE:g}, engine_probes = 40, ramp = 4)"
+
+
+def busiest(times: list[float], span: float = 1.0) -> int:
+    """The most calls within any such span."""
+    ordered, first_, most = sorted(times), 0, 0
+    for i, at in enumerate(ordered):
+        while ordered[first_] <= at - span:
+            first_ += 1
+        most = max(most, i - first_ + 1)
+    return most
+
+
+# --- real processes ---
+
+
+async def mass_start(count: int, engines: int, tree: Path, script: str, seconds: float,
+                     asks: int) -> dict[str, Any]:
+    """All at once, from the bus alone; then clients at each as soon as it is ready."""
+    world = World()
+    await world.start(*(f"s-{i}" for i in range(engines)))
+    link = Link("bus", "127.0.0.1", world.bus_port, Script([], time.monotonic))
+    raw = config(world, "", fleet_size=count, tenants=[])
+    raw["bus"] = f"127.0.0.1:{await link.start()}"
+    del raw["known"]
+    raw["limits"] = {"sockets": 128, "memory_mb": 64}
+    connects: dict[str, list[float]] = {uid: [] for uid in world.engines}
+    for engine in world.engines.values():
+        engine.connected = connects[engine.uid].append
+    with Fleet(count, raw, script, tree) as fleet:
+        link.script.begun = begun = time.monotonic()
+        await asyncio.to_thread(fleet.start)
+        spread = time.monotonic() - begun
+        books: list[Book] = []
+
+        async def client(member: Any) -> float:
+            end = time.monotonic() + seconds
+            while time.monotonic() < end:
+                if await member.ready():
+                    took = time.monotonic() - begun
+                    book = Book("127.0.0.1", member.port)
+                    books.append(book)
+                    for _ in range(asks):
+                        await book.ask("", "lookup", 40, 4_000 * MS)
+                        await asyncio.sleep(0.25)
+                    await book.settle(5.0)
+                    return took
+                await asyncio.sleep(0.1)
+            return float("inf")
+
+        took = sorted(await asyncio.gather(*(client(m) for m in fleet.members)))
+        memory = [_memory(m.process.pid) for m in fleet.members[:20] if m.process is not None]
+        asked = [a for book in books for a in book.asked]
+        for book in books:
+            book.close()
+    link.stop()
+    world.stop()
+    seen = Counter(a.code for a in asked)
+    return {"spread": spread, "bus": link.came, "bytes": link.counts["back"], "ready": took,
+            "engine_connects": max((busiest(t) for t in connects.values()), default=0),
+            "fallen": sum(e.machine.fallen for e in world.engines.values()),
+            "memory": sum(memory) / len(memory),
+            "served": seen[0] / max(1, len(asked)), "unanswered": sum(a.answers != 1 for a in asked),
+            "strays": sum(b.strays for b in books)}
+
+
+def _memory(pid: int) -> float:
+    with open(f"/proc/{pid}/status", encoding="ascii") as file:
+        return next(int(line.split()[1]) for line in file if line.startswith("VmRSS")) / 1024
+
+
+def tell(figures: Figures, name: str, got: dict[str, Any], count: int, paced: bool) -> None:
+    ready: list[float] = got["ready"]
+    figures.tell(f"{name}.started_within_s", got["spread"])
+    figures.tell(f"{name}.list_calls_in_the_busiest_second", busiest(got["bus"]),
+                 most=RATE * 1.3 if paced else None)
+    figures.tell(f"{name}.list_bytes", got["bytes"])
+    for part in (0.5, 0.95, 1.0):
+        figures.tell(f"{name}.ready_{part:g}_s", ready[min(len(ready) - 1, int(part * len(ready)))],
+                     most=window(count, RATE) / S + 12 if paced else None)
+    figures.tell(f"{name}.engine_connects_in_the_busiest_second", got["engine_connects"])
+    figures.tell(f"{name}.engines_fallen", got["fallen"], most=0)
+    figures.tell(f"{name}.served", got["served"], least=0.5 if paced else None)
+    figures.tell(f"{name}.unanswered", got["unanswered"], most=0 if paced else None)
+    figures.tell(f"{name}.strays", got["strays"], most=0)
+    figures.tell(f"{name}.memory_mb", got["memory"])
+
+
+# --- a simulated clock ---
+
+
+def simulated(count: int, seed: int, paced: bool, away: float) -> dict[str, Any]:
+    """The calls on a list service that is away for so many seconds, and on one of 40 engines, and the time to
+    full: the same decisions as a broker's, without the broker."""
+    draw = random.Random(seed)
+    terms = StartTerms(list_connects=RATE, engine_probes=40.0)
+    calls: list[float] = []
+    probes: list[float] = []
+    full: list[float] = []
+    heap: list[tuple[float, int, Calls]] = []
+    for me in range(count):
+        mine, at = Calls(me, count, RATE, draw.random), draw.random()
+        heap.append((mine.first(int(at * S)) / S if paced else at, me, mine))
+    heapq.heapify(heap)
+    while heap:
+        now, me, mine = heapq.heappop(heap)
+        calls.append(now)
+        if now < away:  # as it was: from 0.05 to 0.4 s, doubled, half to the whole of it
+            was = min(0.4, 0.05 * 2 ** mine.failed) * (0.5 + draw.random() / 2)
+            again = mine.again(int(now * S)) / S
+            heapq.heappush(heap, (again if paced else now + was, me, mine))
+            continue
+        asked = probe_at(int(now * S), 7, me, count, terms.engine_probes) / S if paced else now
+        probes.append(asked)
+        ramp, at = Ramp(terms, int(now * S)), int(now * S)
+        while paced and not ramp.over():
+            at += S
+            ramp.period(at, 4, 0)
+        full.append(at / S)
+    return {"calls": calls, "probes": probes, "full": full}
+
+
+def curves(figures: Figures, seeds: int, sizes: tuple[int, ...]) -> dict[str, list[float]]:
+    kept: dict[str, list[float]] = {}
+    for away in (0.0, 30.0):
+        for size in sizes:
+            for paced, name in ((False, "before"), (True, "paced")):
+                runs = [simulated(size, seed, paced, away) for seed in range(seeds)]
+                at = f"simulated.{name}_{size}_away_{away:g}"
+                figures.tell(f"{at}.list_calls_in_the_busiest_second",
+                             max(busiest(r["calls"]) for r in runs), most=RATE + 2 if paced else None)
+                figures.tell(f"{at}.probes_of_one_engine_in_the_busiest_second",
+                             max(busiest(r["probes"]) for r in runs), most=42 if paced else None)
+                figures.tell(f"{at}.all_full_s", max(max(r["full"]) for r in runs),
+                             most=away + 6 * window(size, RATE) / S + 10 if paced else None)
+                kept[f"{name} {size}, away {away:g} s"] = runs[0]["calls"]
+    return kept
+
+
+def plot(path: str, kept: dict[str, list[float]]) -> None:
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(len(kept), 1, sharex=True, figsize=(8, 1.6 * len(kept)))
+    for axis, (name, calls) in zip(axes, kept.items(), strict=True):
+        axis.hist(calls, bins=range(0, int(max(calls)) + 2))
+        axis.axhline(RATE, linestyle="--")
+        axis.set_title(f"calls a second on the list service: {name}", fontsize=8)
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+async def main() -> int:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--base", default=BASE)
+    parser.add_argument("--count", type=int, default=0)
+    parser.add_argument("--plot", default="")
+    given = parser.parse_args()
+    figures = Figures()
+    kept = curves(figures, 2 if given.quick else 20, (10, 100) if given.quick else (10, 100, 1_000))
+    if given.plot:
+        plot(given.plot, kept)
+    count = given.count or (24 if given.quick else 200)
+    engines, asks = max(3, count // 10), 12 if given.quick else 40
+    got = await mass_start(count, engines, ROOT, SCRIPT, 60.0, asks)
+    tell(figures, f"processes.paced_{count}", got, count, True)
+    if not given.quick:
+        with worktree(given.base) as tree:
+            tell(figures, f"processes.before_{count}",
+                 await mass_start(count, engines, tree, "", 60.0, asks), count, False)
+    return figures.exit()
+
+
+if __name__ == "__main__":
+    sys.exit(uvloop.run(main()))
--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -47,7 +47,7 @@
 from .state.engines import EngineTable
 from .state.figures import ERROR, OVERLOAD, STATUSES, SUCCESS, Figures
 from .state.pools import Pools
-from .state.requests import Attempt, Client, OpenRequest
+from .state.requests import Attempt, Carrier, Client, OpenRequest
 from .state.wheel import Clock, Wheel
 from .wire import resp
 from .wire.bus import BusEvent
@@ -139,6 +139,7 @@
         self.stages: Stages | None = None  # where operators want to see, or to learn from, each stage
         self.budget: Budget | None = None  # for further attempts, where operators set one
         self.story: Callable[[OpenRequest, str], None] | None = None
+        self.witness: Callable[[int, Result], None] | None = None  # hears what becomes of probes
         self.margin = WAY_BACK
         self.later: list[tuple[Attempt, Result]] = []
         self.count = 0
@@ -501,7 +502,7 @@
         attempt.ended = True
         self._end_soon(attempt, result)
 
-    def _undo(self, attempt: Attempt, connection: EngineConnection) -> None:
+    def _undo(self, attempt: Attempt, connection: Carrier) -> None:
         connection.undo(attempt)
         self.tally.undone += 1
 
@@ -627,6 +628,8 @@
         engine, sent = self.probing.pop(tag, (None, 0))
         if engine is not None:
             self._report(Probed(engine, result, self.now() - sent, self._load(meter)))
+            if self.witness is not None:
+                self.witness(engine, result)
 
     def lost(self, connection: EngineConnection, why: str, spoilt: bool) -> None:
         """Danger: what was open on a connection that ended may have run. Where a spoilt answer made us end
--- a/larchhall/cli.py
+++ b/larchhall/cli.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from .lifecycle.boot import Node
+    from .operators.script import Evaluated
 
 # Danger: a start at full speed takes the core, and what it may use of it, from the process beside it, whose
 # loop then stands still: half way through what has to be loaded it rests for so many seconds.
@@ -60,14 +61,18 @@
         run(make)
 
 
-def _with_operator_file(config: Config, path: str) -> Callable[[], Node]:
+def _evaluated(path: str) -> Evaluated:
     """Loaded only here: without the file, what it sets costs nothing."""
     from .operators.script import OperatorFileError, evaluate
 
     try:
-        said = evaluate(path)
+        return evaluate(path)
     except OperatorFileError as error:
         raise ConfigError(str(error)) from None
+
+
+def _with_operator_file(config: Config, path: str) -> Callable[[], Node]:
+    said = _evaluated(path)
     if said.map is None:
         from .operators.node import FiledNode
 
@@ -84,11 +89,15 @@
     """Read the configuration, say what it holds, and do nothing."""
     with _telling():
         config = load(os.environ)
-        if operator_file:
-            _with_operator_file(config, operator_file)
+        said = _evaluated(operator_file) if operator_file else None
     click.echo(f"{config.name}: ok, {len(config.settings.classes)} classes, "
                f"listening on {config.host}:{config.port}"
                + (f", {operator_file} ok" if operator_file else ""))
+    if said is not None and said.start is not None:
+        from .start.rates import lines
+
+        for line in lines(said.start, config.settings.me, config.settings.fleet_size):
+            click.echo(line)
 
 
 @main.command()
@@ -116,6 +125,18 @@
         return self._load().get_command(ctx, name)
 
 
+class _LazyStart(_Lazy):
+    def _load(self) -> click.Group:
+        from .start_cli import start
+
+        return start
+
+
+@main.group(cls=_LazyStart)
+def start() -> None:
+    """Show how far a broker has come in its start."""
+
+
 @main.group(cls=_Lazy)
 def cells() -> None:
     """Show the cells of a running broker, move tenants between them, plan moves."""
--- a/larchhall/facade.py
+++ b/larchhall/facade.py
@@ -199,6 +199,14 @@
         """What this process has out, for others of this broker."""
         return self.controller.outstanding(now)
 
+    def shares(self) -> dict[int, tuple[float, float]]:
+        """Of each engine: the threads, and the bound on work outstanding, that this process goes by."""
+        return {number: (e.thread_share, e.bound) for number, e in self.controller.engines.items()}
+
+    def widest(self) -> int:
+        """Threads of the widest query."""
+        return self.controller.widest
+
     def _fired(self, token: int) -> Callable[[], None]:
         return lambda: self.due.append(token)
 
--- a/larchhall/lifecycle/boot.py
+++ b/larchhall/lifecycle/boot.py
@@ -199,12 +199,15 @@
 
     def _follow(self, bus: tuple[str, int]) -> None:
         if self.feed is None:
-            self.feed = Feed(bus, self.config.known_offset, self._news, self.clock.now, self.log,
-                             random.Random(self.config.seed).random)
+            self.feed = self._feed(bus)
             self.feed.start()
         else:
             self.feed.move(bus)
 
+    def _feed(self, bus: tuple[str, int]) -> Feed:
+        return Feed(bus, self.config.known_offset, self._news, self.clock.now, self.log,
+                    random.Random(self.config.seed).random)
+
     def reload(self) -> None:
         """SIGHUP: the file is read and checked wholly, then taken in one step or not at all."""
         if self.drain.begun_at:
--- a/larchhall/lifecycle/drain.py
+++ b/larchhall/lifecycle/drain.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from .boot import Node
+from .host import Host
 
 GO_ON = 0.65         # s after SIGTERM in which nothing changes: clients come for 0.4 s, ask for 0.2 s more
 HANDED_OVER = 0.7    # s after SIGTERM beside a successor in which requests on open connections are waited for
@@ -21,7 +19,7 @@
 
 
 class Drain:
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: Host) -> None:
         self.node = node
         self.begun_at = 0
         self.closed_out = False
--- a/larchhall/lifecycle/operations.py
+++ b/larchhall/lifecycle/operations.py
@@ -5,17 +5,14 @@
 import asyncio
 import socket
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from ..broker import MOST_CALLERS
 from ..wire.operator import OperatorConnection
-
-if TYPE_CHECKING:
-    from .boot import Node
+from .host import Host
 
 
 class Operations:
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: Host) -> None:
         self.node = node
         self.wheel = node.broker.wheel
         self.callers: dict[OperatorConnection, None] = {}  # in the order in which they came
--- a/larchhall/lifecycle/siblings.py
+++ b/larchhall/lifecycle/siblings.py
@@ -8,13 +8,11 @@
 import os
 import zlib
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from ..facade import Outstanding
 from ..state.bans import Word
-
-if TYPE_CHECKING:
-    from .boot import Node
+from .host import Host
 
 PERIOD = 100_000_000  # ns between two looks; news for the other process is due within a second
 MOST_FILE = 1 << 20   # bytes
@@ -24,7 +22,7 @@
     """Each process holds a lock for as long as it lives and tells of itself in the file beside it. Danger:
     what a killed process left must not count: a file without a held lock is removed unread."""
 
-    def __init__(self, node: Node, folder: str) -> None:
+    def __init__(self, node: Host, folder: str) -> None:
         self.node, self.folder = node, Path(folder)
         broker = hashlib.blake2b(node.config.name.encode(), digest_size=6).hexdigest()
         self.prefix = f"larchhall-{broker}-"
--- a/larchhall/operators/node.py
+++ b/larchhall/operators/node.py
@@ -6,14 +6,20 @@
 import os
 from collections.abc import Mapping
 from functools import partial
+from typing import TYPE_CHECKING
 
 from ..broker import WAY_BACK
 from ..config import Config
 from ..deadlines.further import Budget
 from ..deadlines.terms import Deadlines
 from ..lifecycle.boot import Node
+from ..wire.bus import BusEvent
+from ..wire.feed import Feed
 from .script import Evaluated, OperatorFileError, evaluate
 
+if TYPE_CHECKING:
+    from ..start.joins import Starting
+
 LEARN = 1_000_000_000  # ns between two looks at the margin
 
 
@@ -26,8 +32,35 @@
         self.pending: Evaluated | None = None
         self.reading: asyncio.Future[Evaluated] | None = None
         self.learned = 0
+        self.starting: Starting | None = None
         super().__init__(config, environ)
         self._set_terms(said)
+        if said.start is not None:
+            from ..start.joins import Starting
+
+            self.starting = Starting(self, said.start)
+            self.operations.calls = self.starting.call
+
+    # --- the start ---
+
+    def ready(self) -> bool:
+        return super().ready() and (self.starting is None or self.starting.ready())
+
+    def _feed(self, bus: tuple[str, int]) -> Feed:
+        feed = super()._feed(bus)
+        if self.starting is not None:
+            self.starting.pace(feed)
+        return feed
+
+    def _news(self, event: BusEvent) -> None:
+        super()._news(event)
+        if self.starting is not None:
+            self.starting.told()
+
+    def stop(self) -> None:
+        if self.starting is not None:
+            self.starting.stop()
+        super().stop()
 
     # --- what the file says ---
 
@@ -67,6 +100,8 @@
     def _tick(self, loop: asyncio.AbstractEventLoop) -> None:
         super()._tick(loop)
         now = self.clock.now()
+        if self.starting is not None:
+            self.starting.tick(now)
         if self.broker.stages is not None and now - self.learned >= LEARN:
             self.learned = now
             self.broker.margin = self.broker.stages.learn(now)
--- a/larchhall/operators/script.py
+++ b/larchhall/operators/script.py
@@ -22,6 +22,7 @@
 from ..cells.model import BadMap, CellMap, from_plain
 from ..deadlines.further import Terms as FurtherTerms
 from ..deadlines.terms import Deadlines, Logs, MarginTerms
+from ..start.terms import StartTerms
 from .words import MOST_CALLS, WORDS, BadWord, Draft
 
 MOST_FILE = 4 << 20       # bytes of the file
@@ -42,6 +43,7 @@
     map: CellMap | None = None
     deadlines: Deadlines | None = None
     logs: Logs | None = None
+    start: StartTerms | None = None
 
 
 def evaluate(path: str) -> Evaluated:
@@ -65,7 +67,8 @@
         said = json.loads(done.stdout)
         return Evaluated(None if said["map"] is None else from_plain(said["map"]),
                          None if said["deadlines"] is None else _deadlines(said["deadlines"]),
-                         None if said["logs"] is None else Logs(**said["logs"]))
+                         None if said["logs"] is None else Logs(**said["logs"]),
+                         None if said["start"] is None else StartTerms(**said["start"]))
     except (ValueError, KeyError, TypeError, BadMap) as error:
         raise OperatorFileError(f"{path}: evaluation: {error}") from None
 
@@ -153,7 +156,8 @@
         map, deadlines = draft.finish(), draft.deadline_terms()
         print(json.dumps({"map": None if map is None else map.plain(),
                           "deadlines": None if deadlines is None else asdict(deadlines),
-                          "logs": None if draft.logs is None else asdict(draft.logs)}))
+                          "logs": None if draft.logs is None else asdict(draft.logs),
+                          "start": None if draft.start is None else asdict(draft.start)}))
         return 0
     except OperatorFileError as error:
         print(error)
--- a/larchhall/operators/words.py
+++ b/larchhall/operators/words.py
@@ -14,6 +14,7 @@
 from ..cells.model import KEY_FIELDS, BadMap, Cell, CellMap, Tenant, Timing
 from ..deadlines.further import Terms as FurtherTerms
 from ..deadlines.terms import Deadlines, Logs, MarginTerms
+from ..start.terms import StartTerms
 
 MOST_CALLS = 200_000
 MS = 1_000_000
@@ -43,6 +44,7 @@
     further: FurtherTerms | None = None
     further_classes: dict[str, tuple[str, float, float]] = field(default_factory=dict)
     logs: Logs | None = None
+    start: StartTerms | None = None
 
     def deadline_terms(self) -> Deadlines | None:
         """What is said of deadlines and of further attempts; None: nothing."""
@@ -56,6 +58,8 @@
         if self.further_classes and self.further is None:
             name = next(iter(self.further_classes))
             raise BadWord("further_class: needs further_attempts", self.said_at["further_class", name])
+        if self.start is not None and self.cells:
+            raise BadWord("start: goes with no cells yet", self.said_at["start", ""])
         if not self.cells:
             if self.tenants:
                 name = next(iter(self.tenants))
@@ -248,7 +252,28 @@
                       _share(stories, "logs.stories"))
 
 
+def start(draft: Draft, list_connects: Any = 50, list_wait: Any = 10, engine_probes: Any = 20,
+          contact_part: Any = 0.5, contact_wait: Any = 2, floor: Any = 0.1, ramp: Any = 8,
+          last_list: Any = "", last_list_age: Any = 3_600, installation: Any = "") -> None:
+    """How a broker starts where hundreds may start at once; rates are the whole fleet's, times in seconds."""
+    _single(draft, "start")
+    if not 0 < (floor := _share(floor, "start.floor")):
+        raise BadWord("start.floor: must be above 0")
+    if last_list and not str(last_list).startswith("/"):
+        raise BadWord(f"start.last_list: {last_list!r:.60} is no path from the root")
+
+    def span(value: Any, key: str) -> int:
+        return int(_number(value, f"start.{key}") * 1000) * MS
+
+    draft.start = StartTerms(
+        _number(list_connects, "start.list_connects", above=True), span(list_wait, "list_wait"),
+        _number(engine_probes, "start.engine_probes", above=True), _share(contact_part, "start.contact_part"),
+        span(contact_wait, "contact_wait"), floor, span(ramp, "ramp"),
+        _text(last_list, "start.last_list") if last_list else "", span(last_list_age, "last_list_age"),
+        _text(installation, "start.installation") if installation else "")
+
+
 WORDS: dict[str, Callable[..., Any]] = {
     "epoch": epoch, "cell": cell, "tenant": tenant, "default_cell": default_cell, "moves": moves,
     "deadlines": deadlines, "further_attempts": further_attempts, "further_class": further_class,
-    "logs": logs}
+    "logs": logs, "start": start}
--- a/larchhall/standins/engine.py
+++ b/larchhall/standins/engine.py
@@ -79,6 +79,8 @@
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
         self.engine.connections.add(self)
+        if self.engine.connected is not None:
+            self.engine.connected(time.monotonic())
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
@@ -103,6 +105,7 @@
                  ) -> None:
         self.keys, self.tells_every, self.bad_plans = keys, tells_every, bad_plans
         self.draws = random.Random(uid)
+        self.connected: Callable[[float], Any] | None = None  # told of each connection
         self.noting: asyncio.TimerHandle | None = None
         self.uid, self.machine, self.honours_cancel = uid, machine or Machine(), honours_cancel
         self.connections: set[EngineProtocol] = set()
--- /dev/null
+++ b/larchhall/standins/fleet.py
@@ -0,0 +1,143 @@
+"""Many real processes of this program on loopback: started, stopped, paused and killed by their own ids."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+from .client import Counter
+
+ROOT = Path(__file__).parents[2]
+
+
+def free_ports(count: int) -> list[int]:
+    """All held until the last is known, so that no two are the same."""
+    with contextlib.ExitStack() as held:
+        probes = [held.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind(("127.0.0.1", 0))
+        return [int(p.getsockname()[1]) for p in probes]
+
+
+class Member:
+    """One process, with a folder, ports, settings and a log of its own."""
+
+    def __init__(self, number: int, folder: Path, ports: tuple[int, int], raw: dict[str, Any], script: str,
+                 tree: Path) -> None:
+        self.number, self.folder, self.tree = number, folder, tree
+        self.port, self.operator = ports
+        folder.mkdir()
+        raw = {**raw, "name": f"n{number}", "listen": f"127.0.0.1:{self.port}",
+               "operator": f"127.0.0.1:{self.operator}", "seed": f"{number + 1:x}",
+               "settings": {**raw["settings"], "me": number}}
+        (folder / "config.json").write_text(json.dumps(raw))
+        self.env = {**os.environ, "PROXY_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder),
+                    "PYTHONPATH": str(tree)}
+        for name in ("OPERATOR_FILE", "OPERATOR", "LISTEN", "ACCEPT_FD", "NAME"):
+            self.env.pop(f"PROXY_{name}", None)
+        if script:
+            (folder / "operators.star").write_text(script)
+            self.env["PROXY_OPERATOR_FILE"] = str(folder / "operators.star")
+        self.process: subprocess.Popen[bytes] | None = None
+        self.started = 0.0
+
+    def start(self) -> None:
+        self.started = time.monotonic()
+        with open(self.folder / "log", "ab") as log:
+            self.process = subprocess.Popen([sys.executable, "-m", "larchhall", "serve"], cwd=self.tree,
+                                            env=self.env, stderr=log, stdout=log, stdin=subprocess.DEVNULL)
+
+    def signal(self, number: signal.Signals) -> None:
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    def wait(self, seconds: float) -> int:
+        assert self.process is not None
+        return self.process.wait(seconds)
+
+    def kill(self) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)  # one that is paused can't be waited for otherwise
+            self.process.kill()
+            self.process.wait()
+
+    def log(self) -> str:
+        return (self.folder / "log").read_text(errors="replace")
+
+    def call(self, path: str) -> tuple[int, bytes]:
+        line = http.client.HTTPConnection("127.0.0.1", self.operator, timeout=2.0)
+        try:
+            line.request("GET", path)
+            answer = line.getresponse()
+            return answer.status, answer.read()
+        finally:
+            line.close()
+
+    def status(self) -> dict[str, Any]:
+        said: dict[str, Any] = json.loads(self.call("/start")[1])
+        return said
+
+    async def ready(self) -> bool:
+        """As the front asks: type 16 on the clients' address."""
+        from .client import Book
+
+        try:
+            _, counter = await asyncio.get_running_loop().create_connection(
+                lambda: Counter(Book("127.0.0.1", self.port)), "127.0.0.1", self.port)
+        except OSError:
+            return False
+        try:
+            return await asyncio.wait_for(counter.ask_ready(), 2.0)
+        except (TimeoutError, OSError):
+            return False
+        finally:
+            if counter.transport is not None:
+                counter.transport.close()
+
+
+class Fleet:
+    """`with Fleet(...)`: whatever becomes of a test, no process of it is left behind."""
+
+    def __init__(self, count: int, raw: dict[str, Any], script: str = "", tree: Path = ROOT) -> None:
+        self.held = tempfile.TemporaryDirectory()
+        folder = Path(self.held.name)
+        ports = free_ports(2 * count)
+        raw = {**raw, "settings": {**raw["settings"], "fleet_size": raw["settings"].get("fleet_size", count)}}
+        self.members = [Member(i, folder / f"n{i}", (ports[2 * i], ports[2 * i + 1]), raw, script, tree)
+                        for i in range(count)]
+
+    def __enter__(self) -> Fleet:
+        return self
+
+    def __exit__(self, kind: type[BaseException] | None, error: BaseException | None,
+                 trace: TracebackType | None) -> None:
+        for member in self.members:
+            member.kill()
+        self.held.cleanup()
+
+    def start(self) -> None:
+        for member in self.members:
+            member.start()
+
+    async def all_ready(self, seconds: float, part: float = 1.0) -> list[float]:
+        """Seconds from each one's start until it was ready, as they came; ends when all are, or in time."""
+        end, waiting, took = time.monotonic() + seconds, list(self.members), list[float]()
+        while waiting and time.monotonic() < end and len(took) < part * len(self.members):
+            said = await asyncio.gather(*(m.ready() for m in waiting))
+            now = time.monotonic()
+            took += [now - m.started for m, yes in zip(waiting, said, strict=True) if yes]
+            waiting = [m for m, yes in zip(waiting, said, strict=True) if not yes]
+            await asyncio.sleep(0.05)
+        return took
--- /dev/null
+++ b/larchhall/standins/links.py
@@ -0,0 +1,163 @@
+"""A link on loopback between two parties, which a script spoils: a TCP proxy that drops, delays, stalls,
+resets, cuts one way only and limits the rate.
+
+A fault holds from one time to another, for links whose name a pattern matches, in one direction or both:
+
+    Fault(2.0, 5.0, "bus-*", Kind.STALL)                     nothing passes, connections stay open
+    Fault(0.0, 9.0, "*", Kind.DELAY, seconds=0.2)            each chunk comes so much later
+    Fault(1.0, 1.0, "n3-bus", Kind.RESET)                    what is open is reset
+    Fault(0.0, 30.0, "bus-*", Kind.REFUSE)                   new connections are closed at once
+    Fault(0.0, 30.0, "*", Kind.RATE, rate=20_000)            bytes a second, of all these links together
+    Fault(3.0, 6.0, "a-b", Kind.STALL, way=Way.THERE)        one way only
+"""
+
+from __future__ import annotations
+
+import asyncio
+import fnmatch
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Kind(Enum):
+    DELAY = "delay"
+    STALL = "stall"
+    RESET = "reset"
+    REFUSE = "refuse"
+    DROP = "drop"      # a share of chunks never arrive: the connection is reset with the first of them
+    RATE = "rate"
+
+
+class Way(Enum):
+    THERE = "there"    # from the one that connects
+    BACK = "back"
+    BOTH = "both"
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """``begin`` and ``end`` in seconds of the script's clock."""
+
+    begin: float
+    end: float
+    links: str
+    kind: Kind
+    way: Way = Way.BOTH
+    seconds: float = 0.0
+    share: float = 1.0
+    rate: float = 0.0
+
+    def holds(self, now: float, link: str, way: Way) -> bool:
+        return self.begin <= now <= self.end and fnmatch.fnmatchcase(link, self.links) and (
+            way is Way.BOTH or self.way in (Way.BOTH, way))
+
+
+def partition(begin: float, end: float, *groups: Iterable[str]) -> list[Fault]:
+    """Links are named `from-to`: nothing passes between parties of two groups."""
+    return [Fault(begin, end, f"{a}-{b}", Kind.STALL) for i, one in enumerate(groups)
+            for j, other in enumerate(groups) if i != j for a in one for b in other]
+
+
+class Script:
+    """The faults, their clock, and a draw from a seed."""
+
+    def __init__(self, faults: Iterable[Fault], clock: Callable[[], float], seed: int = 1) -> None:
+        self.faults, self.clock, self.random = list(faults), clock, random.Random(seed)
+        self.begun = clock()
+        self.free_at: dict[Fault, float] = {}  # when a limited rate has room again
+
+    def now(self) -> float:
+        return self.clock() - self.begun
+
+    def holding(self, kind: Kind, link: str, way: Way = Way.BOTH) -> Fault | None:
+        now = self.now()
+        return next((f for f in self.faults if f.kind is kind and f.holds(now, link, way)), None)
+
+    def wait_for(self, link: str, way: Way, size: int) -> float:
+        """Seconds until a chunk may go on."""
+        fault = self.holding(Kind.DELAY, link, way)
+        wait = 0.0 if fault is None else fault.seconds
+        if (limited := self.holding(Kind.RATE, link, way)) is not None:
+            now = self.now()
+            start = max(now, self.free_at.get(limited, now))
+            self.free_at[limited] = start + size / limited.rate
+            wait += self.free_at[limited] - now
+        return wait
+
+
+class Link:
+    """One proxy. ``counts``: connections let in and refused, bytes each way; ``came``: when each came."""
+
+    def __init__(self, name: str, host: str, port: int, script: Script) -> None:
+        self.name, self.target, self.script = name, (host, port), script
+        self.counts: Counter[str] = Counter()
+        self.came: list[float] = []
+        self.open: set[asyncio.StreamWriter] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.port = 0
+
+    async def start(self) -> int:
+        self.server = await asyncio.start_server(self._client, "127.0.0.1", 0, backlog=1_024)
+        self.port = int(self.server.sockets[0].getsockname()[1])
+        for fault in self.script.faults:
+            if fault.kind is Kind.RESET and fnmatch.fnmatchcase(self.name, fault.links):
+                self._keep(asyncio.create_task(self._reset_at(fault.begin)))
+        return self.port
+
+    def _keep(self, task: asyncio.Task[None]) -> None:
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _reset_at(self, at: float) -> None:
+        await asyncio.sleep(max(0.0, at - self.script.now()))
+        for writer in list(self.open):
+            writer.transport.abort()
+
+    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.came.append(self.script.now())
+        if self.script.holding(Kind.REFUSE, self.name):
+            self.counts["refused"] += 1
+            writer.transport.abort()
+            return
+        try:
+            other_reader, other = await asyncio.open_connection(*self.target)
+        except OSError:
+            self.counts["refused"] += 1
+            writer.transport.abort()
+            return
+        self.counts["connections"] += 1
+        self.open |= {writer, other}
+        try:
+            await asyncio.gather(self._pass(reader, other, Way.THERE),
+                                 self._pass(other_reader, writer, Way.BACK))
+        except (ConnectionError, asyncio.CancelledError, RuntimeError):
+            pass  # uvloop's word on a transport that has gone
+        finally:
+            self.open -= {writer, other}
+            for end in (writer, other):
+                end.transport.abort()
+
+    async def _pass(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, way: Way) -> None:
+        while data := await reader.read(16_384):
+            while self.script.holding(Kind.STALL, self.name, way):
+                await asyncio.sleep(0.01)
+            fault = self.script.holding(Kind.DROP, self.name, way)
+            if fault is not None and self.script.random.random() < fault.share:
+                raise ConnectionResetError
+            if (wait := self.script.wait_for(self.name, way, len(data))) > 0:
+                await asyncio.sleep(wait)
+            self.counts[way.value] += len(data)
+            writer.write(data)
+            await writer.drain()
+        if writer.can_write_eof():
+            writer.write_eof()
+
+    def stop(self) -> None:
+        self.server.close()
+        for task in list(self.tasks):
+            task.cancel()
+        for writer in list(self.open):
+            writer.transport.abort()
--- /dev/null
+++ b/larchhall/start/joins.py
@@ -0,0 +1,287 @@
+"""Joins the start's decisions to the node, the bus and the disk."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+from collections.abc import Mapping
+from dataclasses import replace
+from typing import Any
+
+from ..facade import Beside, Effect, EngineState, Outstanding, Result, Retuned
+from ..lifecycle.host import Host
+from ..state.engines import EngineTable
+from ..state.figures import ERROR, SUCCESS
+from ..wire.bus import BadLine, Target, parse_event
+from ..wire.feed import CONNECT, SILENT, Feed
+from .lastlist import MOST, BadList, LastList, decode, encode
+from .paces import Calls, probe_at, time_out
+from .ramp import Ramp, assumed
+from .stages import Source, Stage, Start
+from .terms import StartTerms
+
+S = 1_000_000_000
+MS = 1_000_000
+SAVE = 5 * S              # between two looks whether the list on disk is still the one in force
+NOWHERE = ("\0unconfirmed",)  # no engine is of this kind: rule on placement, the module's own
+STATES = {EngineState.READY: "in_service", EngineState.DRAINING: "terminating",
+          EngineState.GONE: "terminated"}
+JSON = "application/json"
+
+
+def plain(target: Target) -> dict[str, Any]:
+    """A target as the bus tells of it."""
+    return {"uid": target.uid, "endpoint": f"{target.host}:{target.port}", "az": target.zone,
+            "model": target.kind, "pod_group": target.cell, "state": STATES[target.state],
+            "capacity_hint": target.weight, "boot_ms": target.started // MS}
+
+
+def listed(table: EngineTable) -> tuple[dict[str, Any], ...]:
+    return tuple(plain(k.target) for k in table.by_uid.values() if k.target.state is not EngineState.GONE)
+
+
+class ListPace:
+    """The feed's pace: by place, then by full jitter."""
+
+    def __init__(self, owner: Starting, me: int, fleet: int, terms: StartTerms) -> None:
+        self.owner, self.now = owner, owner.node.clock.now
+        self.calls = Calls(me, fleet, terms.list_connects, owner.draw)
+        now = self.now()
+        self.first_wait = (self.calls.first(now) - now) / S
+
+    def wait(self) -> float:
+        now = self.now()
+        return (self.calls.again(now) - now) / S
+
+    def time_out(self) -> float:
+        return time_out(self.calls.failed, int(CONNECT * S), 8 * S) / S
+
+    def silent(self) -> int:
+        return time_out(self.calls.failed, SILENT, 16 * S)
+
+    def spoke(self) -> None:
+        self.calls.succeeded()
+        self.owner.confirmed()
+
+
+class Starting:
+    """One node's start. Everything is asked from its tick; files are written on a thread."""
+
+    def __init__(self, node: Host, terms: StartTerms) -> None:
+        self.node, self.terms = node, terms
+        self.me, self.fleet = node.config.settings.me, node.config.settings.fleet_size
+        self.draw = random.Random(node.config.seed ^ 0x5747).random
+        now = node.clock.now()
+        self.start = Start(terms, now)
+        self.ramp: Ramp | None = None
+        self.seen: set[int] = set()             # engines that have answered, or refused to
+        self.asked: dict[int, int] = {}         # engine: when it is probed first
+        self.counted = (0, 0)
+        self.said = 0                           # stages that the log has
+        self.saved, self.saving, self.saved_offset = now, False, -1
+        self.own = node.broker.pools.own        # as it is in service
+        self.held_back = False                  # unsafe work is bound to no engine
+        self.feed: Feed | None = None
+        self.kept = self._read_disk() if not node.config.known else None
+        age = None if self.kept is None else max(0, node.clock.now() - self.kept.saved_at)
+        self.start.settings_read(now, age)
+        if self.kept is not None:
+            self._take_disk(self.kept)
+        if node.config.known:
+            self.start.list_told(now, Source.KNOWN, 0)
+        self._ask_contact(now)
+        node.broker.witness = self._witness
+
+    # --- the list ---
+
+    def pace(self, feed: Feed) -> None:
+        self.feed = feed
+        feed.pace = ListPace(self, self.me, self.fleet, self.terms)
+        if self.kept is not None:
+            feed.last = self.kept.offset  # what it lacks, not the whole again
+
+    def _read_disk(self) -> LastList | None:
+        path = self.terms.last_list
+        if not path:
+            return None
+        try:
+            with open(path, encoding="utf-8") as file:
+                kept = decode(file.read(MOST), self.terms.installation, self.node.clock.now(),
+                              self.terms.last_list_age)
+            parse_event(kept.event())
+            return kept
+        except FileNotFoundError:
+            return None
+        except (BadList, BadLine, UnicodeDecodeError) as error:
+            self.node.log("start", f"last list: {path}: {error}; set aside")
+            try:
+                os.replace(path, f"{path}.bad")
+            except OSError as problem:
+                self.node.log("start", f"last list: {path}: {problem}")
+        except OSError as error:
+            self.node.log("start", f"last list: {path}: {error}")
+        return None
+
+    def _take_disk(self, kept: LastList) -> None:
+        """Danger: an address may be another engine's by now: until the bus has spoken nothing that may not
+        run twice goes there. The module refuses it by its own rule on placement."""
+        self.node.broker.news(parse_event(kept.event()))
+        settings = self.node.config.settings
+        bound = tuple(c if c.effect is Effect.SAFE else replace(c, only_kinds=NOWHERE)
+                      for c in settings.classes)
+        self.held_back = True
+        self.node.broker._report(Retuned(replace(settings, classes=bound)))
+
+    def told(self) -> None:
+        """News of the bus has been taken in."""
+        self.start.list_told(self.node.clock.now(), Source.BUS, self._count())
+
+    def confirmed(self) -> None:
+        """The bus has nothing newer than we have."""
+        if self.held_back:
+            self.held_back = False
+            self.node.broker._report(Retuned(self.node.config.settings))
+            self.node.log("start", "the bus has confirmed the last list")
+        if self.start.source is not Source.BUS and (self._count() or self.start.source is not Source.NONE):
+            self.node.listed = True
+            self.start.list_told(self.node.clock.now(), Source.BUS, self._count())
+
+    def _count(self) -> int:
+        return sum(k.target.state is EngineState.READY for k in self.node.broker.engines.by_number.values())
+
+    # --- first contact ---
+
+    def _ask_contact(self, now: int) -> None:
+        if not self.node.config.settings.limits.probes:
+            self.start.terms = replace(self.start.terms, contact_part=0.0)  # nobody may be asked
+
+    def _witness(self, engine: int, result: Result) -> None:
+        if result is not Result.TIMEOUT:  # refused is heard of, too; silence is not
+            self.seen.add(engine)
+
+    def _contact(self, now: int) -> None:
+        ready = [n for n, k in self.node.broker.engines.by_number.items()
+                 if k.target.state is EngineState.READY]
+        for engine in ready:
+            at = self.asked.get(engine)
+            if at is None:
+                at = self.asked[engine] = probe_at(now, engine, self.me, self.fleet, self.terms.engine_probes)
+            if 0 <= at <= now:
+                self.asked[engine] = -1
+                self.node.broker._probe(now, engine)
+        self.start.heard_of(now, len(self.seen.intersection(ready)), len(ready))
+
+    # --- time ---
+
+    def ready(self) -> bool:
+        return self.start.ready()
+
+    def tick(self, now: int) -> None:
+        start = self.start
+        if start.wants_disk(now):
+            self.node.listed = True
+            start.age = max(0, now - self.kept.saved_at) if self.kept is not None else 0
+            start.list_told(now, Source.DISK, self._count())
+        if start.stage is Stage.LIST and not start.complained and now - start.since >= self.terms.list_wait:
+            start.complained = True
+            self.node.log("start", "no list from the bus and none on disk: still asking, not ready")
+        if start.stage is Stage.CONTACT:
+            if self.node.siblings is not None and self.node.siblings.others:
+                start.skip(now, "another process of this broker serves beside it")
+            else:
+                self._contact(now)
+        if start.stage is Stage.RAMP:
+            self._ramp(now)
+        for passed in start.passed[self.said:]:
+            self.node.log("start", f"{passed.stage.value}: {passed.took / S:.2f} s, {passed.why}")
+        self.said = len(start.passed)
+        if self.terms.last_list and now - self.saved >= SAVE:
+            self._save(now)
+        if start.stage is not Stage.FULL:
+            self.node.broker.wheel.soon()
+
+    def _ramp(self, now: int) -> None:
+        broker = self.node.broker
+        if self.node.siblings is not None and self.node.siblings.others:
+            return self.start.skip(now, "another process of this broker serves beside it")
+        # Danger: a connection for each attempt, from every broker at once, is more handshakes than queries.
+        broker.pools.own = False
+        first_time = self.ramp is None
+        if self.ramp is None:
+            self.ramp = Ramp(self.terms, now)
+        counts = [sum(c[status] for c in broker.figures.replies.values()) for status in (SUCCESS, ERROR)]
+        before, at = self.ramp.share, self.ramp.at
+        share = self.ramp.period(now, counts[0] - self.counted[0], counts[1] - self.counted[1])
+        if self.ramp.at != at:
+            self.counted = counts[0], counts[1]
+        if first_time or share != before or self.ramp.at != at:
+            widest = broker.facade.widest()
+            left = {n: Outstanding(*assumed(share, threads, bound, widest), 0)
+                    for n, (threads, bound) in broker.facade.shares().items()} if share < 1 else {}
+            broker.beside(Beside(left, 1))
+        self.start.ramped(now, share)
+        if self.start.stage is Stage.FULL:
+            broker.pools.own = self.own
+
+    # --- the last list ---
+
+    def _save(self, now: int) -> None:
+        self.saved = now
+        offset = self.feed.last if self.feed is not None else 0
+        if self.saving or not self.start.confirmed() or offset == self.saved_offset:
+            return
+        self.saving = True
+        text = encode(LastList(self.terms.installation, offset, now, listed(self.node.broker.engines)))
+        future = asyncio.get_running_loop().run_in_executor(None, write_whole, self.terms.last_list, text)
+        future.add_done_callback(lambda done: self._was_saved(done, offset))
+
+    def _was_saved(self, done: asyncio.Future[None], offset: int) -> None:
+        self.saving = False
+        if done.cancelled():
+            return
+        if (error := done.exception()) is not None:
+            self.node.log("start", f"last list: not kept: {error}")
+        else:
+            self.saved_offset = offset
+
+    def stop(self) -> None:
+        """What has changed since the last look is written before the end, if the disk lets us."""
+        if self.terms.last_list and self.start.confirmed() and self.feed is not None \
+                and self.feed.last != self.saved_offset:
+            text = encode(LastList(self.terms.installation, self.feed.last, self.node.clock.now(),
+                                   listed(self.node.broker.engines)))
+            try:
+                write_whole(self.terms.last_list, text)
+            except OSError as error:
+                self.node.log("start", f"last list: not kept: {error}")
+
+    # --- operators ---
+
+    def call(self, method: str, path: str) -> tuple[int, bytes, str, str] | None:
+        if path != "/start":
+            return None
+        if method != "GET":
+            return 405, b'{"error": "this call is a GET"}\n', JSON, "GET"
+        return 200, json.dumps(self.status()).encode() + b"\n", JSON, ""
+
+    def status(self) -> Mapping[str, Any]:
+        return {"place": self.me, "fleet": self.fleet, **self.start.told(self.node.clock.now())}
+
+
+def write_whole(path: str, text: str) -> None:
+    """By rename: whoever reads sees the whole of one or of the other. On a thread: it waits for the disk."""
+    early = f"{path}.{os.getpid()}.new"
+    try:
+        with open(early, "w", encoding="utf-8") as file:
+            file.write(text)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(early, path)
+    except OSError:
+        try:
+            os.unlink(early)
+        except OSError:
+            pass  # it was never there
+        raise
--- a/larchhall/state/requests.py
+++ b/larchhall/state/requests.py
@@ -3,15 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from ..deadlines.scopes import Kind, Scope
 from ..facade import NoteKind
 from .wheel import Timer
 
-if TYPE_CHECKING:
-    from ..wire.engine import EngineConnection
-
 
 class Client(Protocol):
     """Whoever waits for a request: a connection of any client protocol."""
@@ -23,6 +20,22 @@
     def failed(self, stream: int, reason: str) -> None: ...
 
 
+class Carrier(Protocol):
+    """A connection to an engine, as far as an attempt knows it."""
+
+    open: dict[bytes, Attempt]
+    undo_waits: set[bytes]  # undone, and the engine can't have heard of it yet
+
+    def bump(self, attempt: Attempt, level: int) -> None: ...
+
+    def take_back(self, attempt: Attempt) -> bool:
+        """True: no byte of it has left, and none will."""
+
+    def undo(self, attempt: Attempt) -> None: ...
+
+    def forget(self, attempt: Attempt) -> None: ...
+
+
 @dataclass(slots=True)
 class OpenRequest:
     id: str                # ours; a trace is the client's word and may come twice
@@ -40,7 +53,7 @@
     reserve: int = 0
     nonce: str | None = None
     attempts: dict[int, Attempt] = field(default_factory=dict)  # those that have not been reported as ended
-    carriers: list[EngineConnection] = field(default_factory=list)  # that have carried an attempt of it
+    carriers: list[Carrier] = field(default_factory=list)  # that have carried an attempt of it
 
     def scope(self) -> Scope:
         """All that is under way for it. Made when it is to be ended: most requests end by themselves."""
@@ -61,7 +74,7 @@
     sent: int
     until: int             # how long the broker waits for it
     timer: Timer | None = None
-    connection: EngineConnection | None = None
+    connection: Carrier | None = None
     paid: bool = False     # out of the budget for further attempts
     ended: bool = False    # taken back, undone or given up by us; its report follows
     written: bool = False  # a byte of it has left for the engine, so that it may have run
--- a/larchhall/wire/feed.py
+++ b/larchhall/wire/feed.py
@@ -5,13 +5,32 @@
 import asyncio
 from collections.abc import Callable
 from functools import partial
-from typing import cast
+from typing import Protocol, cast
 
 from . import bus
 
 SILENT = 1_700_000_000  # ns; a beat comes every second, and after a stop news counts as told in 4 s
 RETRY = (0.05, 0.4)     # s; the first and the longest wait before the next try: after a break told in 2 s
 CONNECT = 0.5           # s
+LOWER = 2               # beats in turn that name less than we have, after which the numbering has begun anew
+
+
+class Pace(Protocol):
+    """Where a whole fleet calls on one bus: when to call, and how long to wait for it."""
+
+    first_wait: float  # s
+
+    def wait(self) -> float:
+        """Seconds to the next call, after one that failed."""
+
+    def time_out(self) -> float:
+        """Seconds in which a connection has to come up."""
+
+    def silent(self) -> int:
+        """Nanoseconds without a word after which a connection is given up."""
+
+    def spoke(self) -> None:
+        """The bus has told, or confirmed, what it has up to now."""
 
 
 class FeedConnection(asyncio.Protocol):
@@ -52,9 +71,10 @@
 
     def __init__(self, address: tuple[str, int], last: int, take: Callable[[bus.BusEvent], None],
                  now: Callable[[], int], log: Callable[[str, str], None],
-                 draw: Callable[[], float]) -> None:
+                 draw: Callable[[], float], pace: Pace | None = None) -> None:
         self.address, self.last, self.take, self.now, self.log = address, last, take, now, log
-        self.draw = draw  # from 0 to 1
+        self.draw, self.pace = draw, pace  # from 0 to 1; None: the bus is ours alone, or takes any number
+        self.lower = 0  # beats in turn that named less than we have
         self.heard = now()
         self.connection: FeedConnection | None = None
         self.task: asyncio.Task[None] | None = None
@@ -62,7 +82,7 @@
         self.bad_at = -1  # the last event we had when a line could not be read
 
     def start(self) -> None:
-        self._connect_after(0.0)
+        self._connect_after(0.0 if self.pace is None else self.pace.first_wait)
 
     def stop(self) -> None:
         if self.task is not None:
@@ -86,7 +106,7 @@
         await asyncio.sleep(wait)
         address = self.address
         try:
-            async with asyncio.timeout(CONNECT):
+            async with asyncio.timeout(CONNECT if self.pace is None else self.pace.time_out()):
                 await asyncio.get_running_loop().create_connection(
                     partial(FeedConnection, self, address), *address)
         except (OSError, TimeoutError) as error:
@@ -106,7 +126,7 @@
 
     def _again(self) -> None:
         """Danger: all brokers lose the bus at one moment, and would come back to it together."""
-        self._connect_after(self.wait * (0.5 + self.draw() / 2))
+        self._connect_after(self.wait * (0.5 + self.draw() / 2) if self.pace is None else self.pace.wait())
         self.wait = min(RETRY[1], self.wait * 2)
 
     def lost(self, connection: FeedConnection) -> None:
@@ -118,7 +138,8 @@
 
     def check(self, now: int) -> None:
         """Danger: a bus that is cut off says nothing, and news counts as told all the same."""
-        if self.connection is not None and now - self.heard > SILENT:
+        if self.connection is not None and now - self.heard > (
+                SILENT if self.pace is None else self.pace.silent()):
             self.log("bus", "no beat: connecting anew")
             self.heard = now
             self.connection.drop()
@@ -141,3 +162,18 @@
         if not isinstance(event, int) and offset > self.last:
             self.last = offset
             self.take(event)
+        if self.pace is not None:
+            if isinstance(event, int) and offset < self.last:
+                self._numbered_lower(offset)
+            else:
+                self.lower = 0
+                self.pace.spoke()
+
+    def _numbered_lower(self, offset: int) -> None:
+        """Danger: a bus that begins its numbers anew, with a fleet that holds larger ones, would never be
+        heard again. One beat may be a replica's that lags; the whole list costs the service more."""
+        self.lower += 1
+        if self.lower >= LOWER and self.connection is not None:
+            self.log("bus", f"the numbers begin anew: {offset} after {self.last}, asking for the whole list")
+            self.last = self.lower = 0
+            self.connection.drop()
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ast
 import re
 import tomllib
 from pathlib import Path
@@ -25,3 +26,28 @@
         text = path.read_text(encoding="utf-8")
         assert not re.search(r"^\s*from \.+(interface|brain|books)\b|import (interface|brain|books)\b", text,
                              re.M), path.name
+
+
+def imports() -> dict[str, set[str]]:
+    """What each module of the package imports, also for its types alone."""
+    found: dict[str, set[str]] = {}
+    for path in (ROOT / "larchhall").rglob("*.py"):
+        name = ".".join(path.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__")
+        parts = path.relative_to(ROOT).parent.parts
+        of = found.setdefault(name, set())
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if isinstance(node, ast.ImportFrom) and node.level:
+                base = [*parts[:len(parts) - node.level + 1], *(node.module or "").split(".")]
+                where = ".".join(part for part in base if part)
+                of |= {where, *(f"{where}.{a.name}" for a in node.names)}
+    return {name: of & found.keys() - {name} for name, of in found.items()}
+
+
+def test_modules_form_no_circle() -> None:
+    """Danger: parts that know each other can't be tested, or used, alone."""
+    graph = {name: of - {"larchhall"} for name, of in imports().items()}
+    while graph:
+        leaves = [name for name, of in graph.items() if not of & graph.keys()]
+        assert leaves, f"a circle among {sorted(graph)}"
+        for name in leaves:
+            del graph[name]
--- a/tests/test_sockets_engine.py
+++ b/tests/test_sockets_engine.py
@@ -10,7 +10,7 @@
 
 from larchhall.broker import Ask, Broker
 from larchhall.state import pools
-from larchhall.state.requests import Attempt, OpenRequest
+from larchhall.state.requests import Attempt, Carrier, OpenRequest
 from larchhall.state.wheel import Clock
 from larchhall.wire import frames, resp
 from larchhall.wire.bus import parse_event
@@ -147,7 +147,8 @@
         await client.answer()
         pool = next(iter(broker.pools.by_number.values()))
         [first] = pool.connections
-        for carriers, same in (([], True), ([first], False)):
+        cases: list[tuple[list[Carrier], bool]] = [([], True), ([first], False)]
+        for carriers, same in cases:
             end = broker.now() + 9_000 * MS
             request = OpenRequest("9", b"9" * 16, b"lookup", STATEMENT, Waiter(), 1, end, carriers=carriers)
             attempt = Attempt(request, 1, pool.number, broker.now(), request.deadline)
--- /dev/null
+++ b/tests/test_start_processes.py
@@ -0,0 +1,369 @@
+"""Starts of several real processes of this program while parts of the system break."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import time
+from collections.abc import Callable
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from larchhall.cli import main
+from larchhall.standins.bus import ScriptedBus, event, target
+from larchhall.standins.client import Book
+from larchhall.standins.fleet import Fleet, Member
+from larchhall.standins.links import Fault, Kind, Link, Script, Way, partition
+from larchhall.standins.world import MS, World, config
+from larchhall.wire import frames
+
+from . import deployments
+from .sockets import HANG, Engine, on_uvloop, until
+from .test_lifecycle import write_config
+
+FAST = ("start(list_connects = 100, list_wait = 0.5, contact_wait = 0.5, engine_probes = 200, ramp = 1, "
+        "floor = 0.25{})")
+
+
+@contextmanager
+def fleet(count: int, raw: dict[str, Any], more: str = "", **changes: Any) -> Any:
+    raw = {**raw, "settings": {**raw["settings"], **changes}}
+    with Fleet(count, raw, FAST.format(more)) as started:
+        yield started
+
+
+async def world_of(*uids: str) -> tuple[World, dict[str, Any]]:
+    world = World()
+    await world.start(*uids)
+    raw = config(world, "127.0.0.1:1", **{**deployments.WAREHOUSE, "fleet_size": 4})
+    del raw["known"]  # from the bus alone
+    return world, raw
+
+
+async def status(member: Member, true: Callable[[dict[str, Any]], bool]) -> dict[str, Any]:
+    """Once its operators' address tells this."""
+    end, said = time.monotonic() + HANG, {}
+    while time.monotonic() < end:
+        try:
+            said = await asyncio.to_thread(member.status)
+        except OSError:
+            said = {}
+        if said and true(said):
+            return said
+        await asyncio.sleep(0.05)
+    raise AssertionError(f"n{member.number}: {said}\n{member.log()}")
+
+
+def at(stage: str) -> Callable[[dict[str, Any]], bool]:
+    return lambda said: said["stage"] == stage
+
+
+def ready(said: dict[str, Any]) -> bool:
+    return bool(said["ready"])
+
+
+@on_uvloop
+async def test_all_start_while_the_list_service_is_down_and_serve_once_it_is_back() -> None:
+    world, raw = await world_of("s-1", "s-2")
+    script = Script([Fault(0.0, 2.5, "bus", Kind.REFUSE)], time.monotonic)
+    link = Link("bus", "127.0.0.1", world.bus_port, script)
+    with fleet(4, {**raw, "bus": f"127.0.0.1:{await link.start()}"}) as brokers:
+        brokers.start()
+        for member in brokers.members:
+            said = await status(member, at("list"))
+            assert not said["ready"] and said["list"] == "none" and said["waits_for"] == "the bus"
+        for member in brokers.members:
+            said = await status(member, at("full"))
+            assert said["list"] == "bus" and said["confirmed"] and said["listed"] == 2
+            assert "still asking, not ready" in member.log()
+        book = Book("127.0.0.1", brokers.members[0].port)
+        for _ in range(20):
+            await book.ask("", "lookup", 2, 4_000 * MS)
+        await book.settle(HANG)
+        assert [a.code for a in book.asked] == [frames.SERVED] * 20
+        book.close()
+    link.stop()
+    world.stop()
+
+
+@on_uvloop
+async def test_a_service_that_accepts_and_says_nothing_is_given_up_and_asked_again() -> None:
+    world, raw = await world_of("s-1")
+    script = Script([Fault(0.0, 4.0, "bus", Kind.STALL, Way.BACK)], time.monotonic)
+    link = Link("bus", "127.0.0.1", world.bus_port, script)
+    with fleet(2, {**raw, "bus": f"127.0.0.1:{await link.start()}"}) as brokers:
+        brokers.start()
+        for member in brokers.members:
+            await status(member, at("full"))
+        assert len(link.came) <= 2 * 8  # not retried as if it were dead
+    link.stop()
+    world.stop()
+
+
+@on_uvloop
+async def test_a_bus_that_begins_its_numbers_anew_is_heard_again() -> None:
+    bus, engine = ScriptedBus(), Engine()
+    port = await engine.start()
+    raw = {"listen": "", "bus": f"127.0.0.1:{await bus.start()}",
+           "settings": {**deployments.WAREHOUSE, "fleet_size": 1}}
+    with fleet(1, raw) as brokers:
+        brokers.start()
+        await until(lambda: bus.asked)
+        bus.tell(event(1, target("s-1", port), full=True))
+        for number in range(2, 6):
+            bus.tell(event(number))
+        await status(brokers.members[0], ready)
+        for beat in (3, 5, 3, 3):  # one beat may be a replica's that lags
+            bus.tell(beat)
+        await until(lambda: len(bus.asked) == 2)
+        assert bus.asked[1] == b"from 0\n"
+        bus.tell(event(1, target("s-1", port), target("s-2", port + 1, "terminating"), target("s-3", 9),
+                       full=True))
+        await status(brokers.members[0], lambda said: said["listed"] == 2)
+
+
+@on_uvloop
+async def test_the_last_list_serves_safe_work_alone_until_the_bus_confirms_it(tmp_path: Path) -> None:
+    """Danger: an address may be another engine's by now."""
+    world, raw = await world_of("s-1", "s-2")
+    kept = tmp_path / "list"
+    more = f', last_list = "{kept}", installation = "here"'
+    raw["settings"] = {**raw["settings"], "classes": deployments.COUNTERS["classes"]}
+    with fleet(1, raw, more) as brokers:
+        brokers.start()
+        await status(brokers.members[0], ready)
+        brokers.members[0].signal(signal.SIGTERM)
+        await asyncio.to_thread(brokers.members[0].wait, HANG)
+    script = Script([Fault(0.0, 3.0, "bus", Kind.REFUSE)], time.monotonic)
+    link = Link("bus", "127.0.0.1", world.bus_port, script)
+    with fleet(1, {**raw, "bus": f"127.0.0.1:{await link.start()}"}, more) as brokers:
+        member = brokers.members[0]
+        brokers.start()
+        said = await status(member, ready)
+        assert said["list"] == "disk" and not said["confirmed"] and said["listed"] == 2
+        book = Book("127.0.0.1", member.port)
+        safe, unsafe = [await book.ask("", route, 2, 4_000 * MS) for route in ("lookup", "load")]
+        await book.settle(HANG)
+        assert (safe.code, unsafe.code) == (frames.SERVED, frames.REFUSED) and unsafe.pause >= 0
+        await status(member, lambda said: said["confirmed"])
+        later = await book.ask("", "load", 2, 4_000 * MS)
+        await book.settle(HANG)
+        assert later.code == frames.SERVED
+        book.close()
+    link.stop()
+    world.stop()
+
+
+@pytest.mark.parametrize("kept", ["", "larchhall-list 1 00\n{}\n", "nonsense"])
+@on_uvloop
+async def test_a_bad_last_list_is_set_aside_and_the_bus_waited_for(tmp_path: Path, kept: str) -> None:
+    world, raw = await world_of("s-1")
+    path = tmp_path / "list"
+    path.write_text(kept)
+    with fleet(1, raw, f', last_list = "{path}"') as brokers:
+        brokers.start()
+        said = await status(brokers.members[0], ready)
+        assert said["list"] == "bus" and "set aside" in brokers.members[0].log()
+        assert (tmp_path / "list.bad").read_text() == kept
+    assert not path.exists() or path.read_text().startswith("larchhall-list 1 ")
+    world.stop()
+
+
+@on_uvloop
+async def test_a_folder_that_cannot_be_written_is_told_and_harms_nothing(tmp_path: Path) -> None:
+    world, raw = await world_of("s-1")
+    with fleet(1, raw, f', last_list = "{tmp_path}/none/list"') as brokers:
+        brokers.start()
+        await status(brokers.members[0], at("full"))
+        await until(lambda: "last list: not kept" in brokers.members[0].log())
+        assert await brokers.members[0].ready()
+    world.stop()
+
+
+@on_uvloop
+async def test_half_of_them_killed_in_the_ramp_and_a_paused_one_that_wakes_all_get_there() -> None:
+    world, raw = await world_of("s-1", "s-2", "s-3")
+    with fleet(4, raw) as brokers:
+        brokers.start()
+        for member in brokers.members:
+            await status(member, ready)
+        for member in brokers.members[:2]:
+            member.kill()
+            member.start()
+        paused = brokers.members[3]
+        paused.signal(signal.SIGSTOP)
+        world.drain("s-3")  # it sleeps over this
+        await asyncio.sleep(2.0)
+        paused.signal(signal.SIGCONT)
+        for member in brokers.members:
+            said = await status(member, lambda said: said["stage"] == "full" and said["listed"] == 2)
+            assert said["share"] == 1.0
+        book = Book("127.0.0.1", paused.port)
+        for _ in range(30):
+            await book.ask("", "lookup", 2, 4_000 * MS)
+        await book.settle(HANG)
+        assert [a.code for a in book.asked] == [frames.SERVED] * 30
+        assert world.sent_after_drain(550 * MS) == 0
+        book.close()
+    world.stop()
+
+
+@pytest.mark.parametrize("stage", ["list", "contact", "ramp"])
+@on_uvloop
+async def test_signals_at_every_stage_end_or_retune_and_hang_nothing(stage: str) -> None:
+    world, raw = await world_of("s-1")
+    silent = Engine(lambda *_: None)
+    port = await silent.start()
+    if stage == "list":
+        raw["bus"] = "127.0.0.1:9"
+    if stage == "contact":
+        world.bus.tell(target("s-2", port), target("s-3", port + 1))
+    long = FAST.replace("contact_wait = 0.5", "contact_wait = 30").replace("ramp = 1", "ramp = 60").replace(
+        "floor = 0.25{}", "floor = 0.01, contact_part = 0.9")
+    with Fleet(1, {**raw, "settings": {**raw["settings"], "fleet_size": 1}}, long) as brokers:
+        member = brokers.members[0]
+        brokers.start()
+        await status(member, at(stage))
+        member.signal(signal.SIGHUP)
+        await until(lambda: "reload: " in member.log())
+        assert "reload: done" in member.log()
+        await status(member, at(stage))
+        member.signal(signal.SIGTERM)
+        assert await asyncio.to_thread(member.wait, HANG) == 0
+    world.stop()
+
+
+@on_uvloop
+async def test_a_bus_that_flaps_costs_no_more_than_its_rate_and_loses_no_news() -> None:
+    world, raw = await world_of("s-1")
+    flaps = [Fault(at_, at_ + 1.0, "bus", Kind.REFUSE) for at_ in (0.0, 2.0, 4.0)]
+    resets = [Fault(at_, at_, "bus", Kind.RESET) for at_ in (2.0, 4.0)]
+    link = Link("bus", "127.0.0.1", world.bus_port, Script([*flaps, *resets], time.monotonic))
+    with fleet(4, {**raw, "bus": f"127.0.0.1:{await link.start()}"}) as brokers:
+        brokers.start()
+        await asyncio.sleep(3.0)
+        world.bus.tell(target("s-2", world.engines["s-1"].port + 1, "terminating"), target("s-3", 9))
+        for member in brokers.members:
+            await status(member, lambda said: said["stage"] == "full" and said["listed"] == 2)
+        assert len(link.came) < 100 * link.script.now() + 4
+    link.stop()
+    world.stop()
+
+
+@on_uvloop
+async def test_an_address_that_was_given_to_another_while_all_were_down_gets_nothing_unsafe(
+        tmp_path: Path) -> None:
+    world, raw = await world_of("s-1")
+    kept = tmp_path / "list"
+    more = f', last_list = "{kept}"'
+    raw["settings"] = {**raw["settings"], "classes": deployments.COUNTERS["classes"]}
+    with fleet(1, raw, more) as brokers:
+        brokers.start()
+        await status(brokers.members[0], ready)
+        brokers.members[0].signal(signal.SIGTERM)
+        await asyncio.to_thread(brokers.members[0].wait, HANG)
+    port = world.engines["s-1"].port  # listens still, and is another engine now
+    script = Script([Fault(0.0, 2.0, "bus", Kind.REFUSE)], time.monotonic)
+    link = Link("bus", "127.0.0.1", world.bus_port, script)
+    world.bus.tell({**world.bus.targets["s-1"], "state": "terminated"}, target("s-9", port))
+    with fleet(1, {**raw, "bus": f"127.0.0.1:{await link.start()}"}, more) as brokers:
+        member = brokers.members[0]
+        brokers.start()
+        await status(member, ready)
+        book = Book("127.0.0.1", member.port)
+        asked = [await book.ask("", "load", 2, 4_000 * MS) for _ in range(5)]
+        await book.settle(HANG)
+        assert [a.code for a in asked] == [frames.REFUSED] * 5
+        assert not [run for run in world.engines["s-1"].machine.ledger if run.cls == b"load"]
+        await status(member, lambda said: said["confirmed"] and said["listed"] == 1)
+        later = await book.ask("", "load", 2, 4_000 * MS)
+        await book.settle(HANG)
+        assert later.code == frames.SERVED
+        book.close()
+    link.stop()
+    world.stop()
+
+
+@on_uvloop
+async def test_all_engines_and_all_brokers_cold_at_once_push_nothing_over() -> None:
+    world = World()
+    await world.start("s-0")
+    await world.add("s-1", "s-2", "s-3", cold=True)
+    world.end("s-0")
+    raw = config(world, "127.0.0.1:1", **{**deployments.WAREHOUSE, "fleet_size": 4})
+    del raw["known"]
+    with fleet(4, raw) as brokers:
+        brokers.start()
+        books = []
+        for member in brokers.members:
+            await status(member, ready)
+            books.append(Book("127.0.0.1", member.port))
+        for _ in range(40):
+            for book in books:
+                await book.ask("", "lookup", 200, 4_000 * MS)
+            await asyncio.sleep(0.05)
+        for book in books:
+            await book.settle(HANG)
+        asked = [a for book in books for a in book.asked]
+        assert not [a for a in asked if a.answers != 1] and not any(e.machine.fallen
+                                                                    for e in world.engines.values())
+        assert sum(a.code == frames.SERVED for a in asked) > 20
+        for book in books:
+            book.close()
+    world.stop()
+
+
+@on_uvloop
+async def test_a_cut_in_one_way_stalls_that_way_alone_and_partitions_name_their_links() -> None:
+    """The link stand-in itself."""
+    async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(100):
+            heard.append(data)
+            writer.write(data)
+
+    heard: list[bytes] = []
+    server = await asyncio.start_server(echo, "127.0.0.1", 0)
+    now = 0.0
+    script = Script([Fault(0.0, 1.0, "a-b", Kind.STALL, Way.BACK)], lambda: now)
+    link = Link("a-b", "127.0.0.1", server.sockets[0].getsockname()[1], script)
+    reader, writer = await asyncio.open_connection("127.0.0.1", await link.start())
+    writer.write(b"x")
+    await until(lambda: heard)
+    assert link.counts["back"] == 0
+    now = 2.0
+    assert await asyncio.wait_for(reader.read(1), HANG) == b"x"
+    assert {f.links for f in partition(0, 1, ["a"], ["b", "c"])} == {"a-b", "a-c", "b-a", "c-a"}
+    link.stop()
+    server.close()
+
+
+def test_check_config_tells_the_rates_of_this_fleet(tmp_path: Path) -> None:
+    env = write_config(tmp_path, settings={**deployments.WAREHOUSE, "fleet_size": 300, "me": 7})
+    script = tmp_path / "ops.star"
+    script.write_text("start(list_connects = 100)")
+    done = CliRunner().invoke(main, ["check-config", "--operator-file", str(script)], env=env)
+    assert done.exit_code == 0 and "place 7 of 300" in done.output and "3.00 s at the most" in done.output
+
+
+@on_uvloop
+async def test_start_show_tells_stage_by_stage() -> None:
+    world, raw = await world_of("s-1")
+    with fleet(1, raw) as brokers:
+        brokers.start()
+        member = brokers.members[0]
+        await status(member, at("full"))
+        address = f"127.0.0.1:{member.operator}"
+        words = ["start", "show", "--address", address]
+        shown = await asyncio.to_thread(CliRunner().invoke, main, words)
+        assert shown.exit_code == 0 and "contact" in shown.output and "full *" in shown.output
+        told = await asyncio.to_thread(CliRunner().invoke, main, [*words, "--json"])
+        passed = [p["stage"] for p in json.loads(told.output)["passed"]]
+        assert passed == ["settings", "list", "contact", "ramp"]
+    assert all(m.process.poll() is not None for m in brokers.members) and not os.path.exists(member.folder)
+    world.stop()
