Until its share is whole a broker's connects at engines and new clients are rationed; start goes with cells

Need: what the start among hundreds lacked. Change: with the word `start`, until the whole share is open, a new connection to an engine waits for a slot of its own (Pools.turn, `engine_connects`), new clients are read one after the other (`accepts`), each room of a broker with cells ramps by its own share, and the figures tell the seconds in each stage. Off without the word: Pools.turn is None.

--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -139,6 +139,7 @@
         self.stages: Stages | None = None  # where operators want to see, or to learn from, each stage
         self.budget: Budget | None = None  # for further attempts, where operators set one
         self.story: Callable[[OpenRequest, str], None] | None = None
+        self.more_figures: Callable[[], bytes] | None = None  # of what operators have switched on
         self.witness: Callable[[int, Result], None] | None = None  # hears what becomes of probes
         self.margin = WAY_BACK
         self.later: list[tuple[Attempt, Result]] = []
@@ -305,6 +306,7 @@
 
     def metrics(self) -> bytes:
         text = self.figures.text(self.concurrent, len(self.engines.by_uid), self.facade.avoided())
+        text += b"" if self.more_figures is None else self.more_figures()
         return text if self.stages is None else text + self.deadline_figures()
 
     def deadline_figures(self) -> bytes:
--- a/larchhall/operators/node.py
+++ b/larchhall/operators/node.py
@@ -14,6 +14,7 @@
 from ..deadlines.terms import Deadlines
 from ..lifecycle.boot import Node
 from ..wire.bus import BusEvent
+from ..wire.client import ClientConnection
 from ..wire.feed import Feed
 from .script import Evaluated, OperatorFileError, evaluate
 
@@ -46,6 +47,13 @@
     def ready(self) -> bool:
         return super().ready() and (self.starting is None or self.starting.ready())
 
+    def came(self, connection: ClientConnection) -> bool:
+        if not super().came(connection):
+            return False
+        if self.starting is not None:
+            self.starting.came(connection)
+        return True
+
     def _feed(self, bus: tuple[str, int]) -> Feed:
         feed = super()._feed(bus)
         if self.starting is not None:
--- a/larchhall/operators/words.py
+++ b/larchhall/operators/words.py
@@ -58,8 +58,6 @@
         if self.further_classes and self.further is None:
             name = next(iter(self.further_classes))
             raise BadWord("further_class: needs further_attempts", self.said_at["further_class", name])
-        if self.start is not None and self.cells:
-            raise BadWord("start: goes with no cells yet", self.said_at["start", ""])
         if not self.cells:
             if self.tenants:
                 name = next(iter(self.tenants))
@@ -253,8 +251,9 @@
 
 
 def start(draft: Draft, list_connects: Any = 50, list_wait: Any = 10, engine_probes: Any = 20,
-          contact_part: Any = 0.5, contact_wait: Any = 2, floor: Any = 0.1, ramp: Any = 8,
-          last_list: Any = "", last_list_age: Any = 3_600, installation: Any = "") -> None:
+          engine_connects: Any = 100, accepts: Any = 200, contact_part: Any = 0.5, contact_wait: Any = 2,
+          floor: Any = 0.1, ramp: Any = 8, last_list: Any = "", last_list_age: Any = 3_600,
+          installation: Any = "") -> None:
     """How a broker starts where hundreds may start at once; rates are the whole fleet's, times in seconds."""
     _single(draft, "start")
     if not 0 < (floor := _share(floor, "start.floor")):
@@ -267,7 +266,9 @@
 
     draft.start = StartTerms(
         _number(list_connects, "start.list_connects", above=True), span(list_wait, "list_wait"),
-        _number(engine_probes, "start.engine_probes", above=True), _share(contact_part, "start.contact_part"),
+        _number(engine_probes, "start.engine_probes", above=True),
+        _number(engine_connects, "start.engine_connects", above=True),
+        _number(accepts, "start.accepts", above=True), _share(contact_part, "start.contact_part"),
         span(contact_wait, "contact_wait"), floor, span(ramp, "ramp"),
         _text(last_list, "start.last_list") if last_list else "", span(last_list_age, "last_list_age"),
         _text(installation, "start.installation") if installation else "")
--- a/larchhall/rooms/hall.py
+++ b/larchhall/rooms/hall.py
@@ -306,6 +306,14 @@
     def avoided(self) -> int:
         return sum(room.avoided() for room in self.rooms.values())
 
+    def shares(self) -> dict[int, tuple[float, float]]:
+        """Threads and bound that the cell of each engine goes by there."""
+        return {n: share for room in self.rooms.values() for n, share in room.shares().items()
+                if n in room.engines}
+
+    def widest(self) -> int:
+        return max((room.widest() for room in self.rooms.values()), default=1)
+
     def outstanding(self, now: int) -> dict[int, Outstanding]:
         out: dict[int, Outstanding] = {}
         for room in self.rooms.values():
--- a/larchhall/rooms/node.py
+++ b/larchhall/rooms/node.py
@@ -326,7 +326,7 @@
 
     def _call(self, method: str, path: str) -> tuple[int, bytes, str, str] | None:
         if path != "/cells" and not path.startswith("/cells/"):
-            return None
+            return None if self.starting is None else self.starting.call(method, path)
         try:
             parts = [unquote_to_bytes(part).decode() for part in path.split("/")[2:]]
         except UnicodeDecodeError:
--- a/larchhall/start/joins.py
+++ b/larchhall/start/joins.py
@@ -15,9 +15,10 @@
 from ..state.engines import EngineTable
 from ..state.figures import ERROR, SUCCESS
 from ..wire.bus import BadLine, Target, parse_event
+from ..wire.client import ClientConnection
 from ..wire.feed import CONNECT, SILENT, Feed
 from .lastlist import MOST, BadList, LastList, decode, encode
-from .paces import Calls, probe_at, time_out
+from .paces import Calls, Gate, probe_at, slot, time_out
 from .ramp import Ramp, assumed
 from .stages import Source, Stage, Start
 from .terms import StartTerms
@@ -93,6 +94,10 @@
             self.start.list_told(now, Source.KNOWN, 0)
         self._ask_contact(now)
         node.broker.witness = self._witness
+        node.broker.more_figures = self.figures
+        node.broker.pools.turn = self._connect_wait
+        self.gate = Gate(terms.accepts, now)
+        self.unread: dict[ClientConnection, None] = {}  # let in, and not read yet, in their order
 
     # --- the list ---
 
@@ -173,6 +178,29 @@
                 self.node.broker._probe(now, engine)
         self.start.heard_of(now, len(self.seen.intersection(ready)), len(ready))
 
+    # --- connections ---
+
+    def _connect_wait(self, engine: int) -> int:
+        """Danger: hundreds that open connections to one engine in a second are a push by themselves."""
+        now = self.node.clock.now()
+        return slot(now, self.me + engine, self.fleet, self.terms.engine_connects, self.draw()) - now
+
+    def came(self, client: ClientConnection) -> None:
+        """Danger: a front that finds this broker again hands it all that it holds back: those that are read
+        at once keep the ones that were taken from their answers."""
+        if self.start.stage is Stage.FULL or not self.unread and self.gate.free(self.node.clock.now()):
+            return
+        if client.transport is not None:
+            client.transport.pause_reading()
+            self.unread[client] = None
+
+    def _let_in(self, now: int, all_: bool) -> None:
+        while self.unread and (all_ or self.gate.free(now)):
+            client = next(iter(self.unread))
+            del self.unread[client]
+            if client.transport is not None and not client.broken:
+                client.transport.resume_reading()
+
     # --- time ---
 
     def ready(self) -> bool:
@@ -189,11 +217,12 @@
             self.node.log("start", "no list from the bus and none on disk: still asking, not ready")
         if start.stage is Stage.CONTACT:
             if self.node.siblings is not None and self.node.siblings.others:
-                start.skip(now, "another process of this broker serves beside it")
+                self._skip(now)
             else:
                 self._contact(now)
         if start.stage is Stage.RAMP:
             self._ramp(now)
+        self._let_in(now, start.stage is Stage.FULL)
         for passed in start.passed[self.said:]:
             self.node.log("start", f"{passed.stage.value}: {passed.took / S:.2f} s, {passed.why}")
         self.said = len(start.passed)
@@ -202,10 +231,14 @@
         if start.stage is not Stage.FULL:
             self.node.broker.wheel.soon()
 
+    def _skip(self, now: int) -> None:
+        self.start.skip(now, "another process of this broker serves beside it")
+        self.node.broker.pools.own, self.node.broker.pools.turn = self.own, None
+
     def _ramp(self, now: int) -> None:
         broker = self.node.broker
         if self.node.siblings is not None and self.node.siblings.others:
-            return self.start.skip(now, "another process of this broker serves beside it")
+            return self._skip(now)
         # Danger: a connection for each attempt, from every broker at once, is more handshakes than queries.
         broker.pools.own = False
         first_time = self.ramp is None
@@ -223,7 +256,7 @@
             broker.beside(Beside(left, 1))
         self.start.ramped(now, share)
         if self.start.stage is Stage.FULL:
-            broker.pools.own = self.own
+            broker.pools.own, broker.pools.turn = self.own, None
 
     # --- the last list ---
 
@@ -266,6 +299,18 @@
             return 405, b'{"error": "this call is a GET"}\n', JSON, "GET"
         return 200, json.dumps(self.status()).encode() + b"\n", JSON, ""
 
+    def figures(self) -> bytes:
+        """Seconds in each stage so far, and the share that is open."""
+        now = self.node.clock.now()
+        took = {p.stage: p.took for p in self.start.passed}
+        took[self.start.stage] = now - self.start.since
+        lines = ["# HELP edge_proxy_start_seconds Time in each stage of the start.",
+                 "# TYPE edge_proxy_start_seconds gauge",
+                 *(f'edge_proxy_start_seconds{{stage="{s.value}"}} {t / S:.3f}' for s, t in took.items()),
+                 "# HELP edge_proxy_start_share Share of the admission that is open.",
+                 "# TYPE edge_proxy_start_share gauge", f"edge_proxy_start_share {self.start.share:.4f}"]
+        return ("\n".join(lines) + "\n").encode()
+
     def status(self) -> Mapping[str, Any]:
         return {"place": self.me, "fleet": self.fleet, **self.start.told(self.node.clock.now())}
 
--- a/larchhall/start/paces.py
+++ b/larchhall/start/paces.py
@@ -55,6 +55,21 @@
         self.failed = 0
 
 
+@dataclass(slots=True)
+class Gate:
+    """How many new ones a second are let through, one after the other."""
+
+    rate: float
+    next_at: int
+
+    def free(self, now: int) -> bool:
+        """True: one may pass, and it is counted. What was not used in the last second is lost."""
+        if now < self.next_at:
+            return False
+        self.next_at = max(self.next_at, now - S) + int(S / self.rate)
+        return True
+
+
 def time_out(failed: int, least: int, most: int) -> int:
     """How long one call may take: a service that is slow under a whole fleet is waited for longer each time,
     not asked more often."""
--- a/larchhall/start/rates.py
+++ b/larchhall/start/rates.py
@@ -17,6 +17,9 @@
         f"a second, each again after {(MOST_SKIPPED + 1) * whole:.2f} s at the latest",
         f"start: {terms.engine_probes:g} brokers a second ask each engine, all in {contact:.2f} s; ready "
         f"once {terms.contact_part:g} of the engines are heard of, or after {terms.contact_wait / S:g} s",
+        f"start: until the whole share is open {terms.engine_connects:g} new connections a second at each "
+        f"engine, this broker one in {window(fleet, terms.engine_connects) / S:.2f} s, and {terms.accepts:g} "
+        f"new clients a second",
         f"start: admission from {terms.floor:g} of the share to the whole within {terms.ramp / S:g} s, "
         f"{4 * terms.ramp / S:g} s with bad news"]
     if contact * terms.contact_part > terms.contact_wait / S:
--- a/larchhall/state/pools.py
+++ b/larchhall/state/pools.py
@@ -98,6 +98,8 @@
     async def _connect(self) -> None:
         why, result = "", Result.CONNECT_FAILED
         connection: EngineConnection | None = None
+        if self.pools.turn is not None:
+            await asyncio.sleep(self.pools.turn(self.number) / 1e9)
         address = self.target.host, self.target.port
         try:
             if not self.pools.make_room(self):
@@ -190,6 +192,7 @@
         self.owner, self.log, self.unsent, self.may_go = owner, log, unsent, may_go
         self.most = 0
         self.own = True  # attempts get connections of their own while there is room
+        self.turn: Callable[[int], int] | None = None  # ns that a new connection to this engine has to wait
         self.retune(streams, connect_timeout, conn_idle)
         self.by_number: dict[int, EnginePool] = {}
 
--- a/tests/test_start_processes.py
+++ b/tests/test_start_processes.py
@@ -256,6 +256,77 @@
     world.stop()
 
 
+@on_uvloop
+async def test_a_service_that_is_slow_to_all_is_waited_for_and_not_asked_more_often() -> None:
+    world, raw = await world_of("s-1")
+    for i in range(60):
+        world.bus.tell(*(target(f"gone-{i}-{j}", 9, "terminated") for j in range(6)))
+    size = sum(len(json.dumps(e)) for e in world.bus.events)
+    script = Script([Fault(0.0, 60.0, "bus", Kind.RATE, Way.BACK, rate=4 * size / 3.0)], time.monotonic)
+    link = Link("bus", "127.0.0.1", world.bus_port, script)
+    with fleet(4, {**raw, "bus": f"127.0.0.1:{await link.start()}"}) as brokers:
+        brokers.start()
+        for member in brokers.members:
+            await status(member, lambda said: said["stage"] == "full" and said["listed"] == 1)
+        await until(lambda: link.counts["back"] >= 4 * size)
+        assert len(link.came) <= 8
+    link.stop()
+    world.stop()
+
+
+@on_uvloop
+async def test_new_clients_and_new_connections_to_engines_are_let_through_one_after_the_other() -> None:
+    """Danger: a front that finds a broker again hands it everything at once."""
+    world, raw = await world_of("s-1")
+    came: list[float] = []
+    world.engines["s-1"].connected = came.append
+    script = FAST.replace("ramp = 1", "ramp = 60").format(", accepts = 20, engine_connects = 4")
+    with Fleet(2, {**raw, "settings": {**raw["settings"], "fleet_size": 2}}, script) as brokers:
+        brokers.start()
+        member = brokers.members[0]
+        await status(member, ready)
+        books = [Book("127.0.0.1", member.port) for _ in range(30)]
+        begun = time.monotonic()
+        for book in books:
+            await book.ask("", "lookup", 1, 8_000 * MS)
+        for book in books:
+            await book.settle(HANG)
+        assert all(a.answers == 1 for book in books for a in book.asked)
+        answered = sorted(a.answered for book in books for a in book.asked)
+        assert answered[-1] - answered[0] > 0.1e9 and time.monotonic() - begun < HANG
+        text = (await asyncio.to_thread(member.call, "/metrics"))[1].decode()
+        assert 'edge_proxy_start_seconds{stage="contact"}' in text and "edge_proxy_start_share" in text
+        for book in books:
+            book.close()
+    assert len([t for t in came if t < begun + 0.2]) <= 12
+    world.stop()
+
+
+@on_uvloop
+async def test_with_cells_each_room_ramps_and_serves() -> None:
+    world, raw = await world_of("s-1", "s-2")
+    raw["settings"] = {**raw["settings"], "fleet_size": 1, "tenants": [{"name": "acme"}, {"name": "other"}]}
+    cells = ('\nepoch(1)\ncell("a", engines = ["s-1"])\ncell("b", engines = ["s-2"])\ndefault_cell("a")\n'
+             'tenant("other", cell = "b")')
+    with Fleet(1, raw, FAST.format("") + cells) as brokers:
+        brokers.start()
+        member = brokers.members[0]
+        said = await status(member, at("ramp"))
+        assert said["listed"] == 2 and (await asyncio.to_thread(member.call, "/cells"))[0] == 200
+        book = Book("127.0.0.1", member.port)
+        for part in range(2):
+            for i in range(20):
+                await book.ask(("acme", "other")[i % 2], "lookup", 2, 4_000 * MS)
+            await book.settle(HANG)
+            if part == 0:  # what does not fit while it ramps is refused at once
+                assert {a.code for a in book.asked} <= {frames.SERVED, frames.REFUSED}
+                await status(member, at("full"))
+        assert {a.code for a in book.asked[20:]} == {frames.SERVED}
+        book.close()
+    assert all(e.sent for e in world.engines.values())
+    world.stop()
+
+
 @on_uvloop
 async def test_an_address_that_was_given_to_another_while_all_were_down_gets_nothing_unsafe(
         tmp_path: Path) -> None:
