New clients of a starting broker are held by the connection itself, until their turn

Change: ClientConnection.hold keeps what comes, as between two turns of a connection with cells, and go_on reads it; a held client is not ended as silent.

--- a/larchhall/rooms/front.py
+++ b/larchhall/rooms/front.py
@@ -37,12 +37,6 @@
         super()._read_on()
         self.house.spent(cell, self.front.broker.now() - began)
 
-    def go_on(self) -> None:
-        """Its turn has come."""
-        if not self.broken:
-            self._resume()
-            self._count_partial()
-
     def _count_partial(self) -> None:
         super()._count_partial()
         change, self.booked = self.partial - self.booked, self.partial
--- a/larchhall/start/joins.py
+++ b/larchhall/start/joins.py
@@ -190,16 +190,14 @@
         at once keep the ones that were taken from their answers."""
         if self.start.stage is Stage.FULL or not self.unread and self.gate.free(self.node.clock.now()):
             return
-        if client.transport is not None:
-            client.transport.pause_reading()
-            self.unread[client] = None
+        client.hold()
+        self.unread[client] = None
 
     def _let_in(self, now: int, all_: bool) -> None:
         while self.unread and (all_ or self.gate.free(now)):
             client = next(iter(self.unread))
             del self.unread[client]
-            if client.transport is not None and not client.broken:
-                client.transport.resume_reading()
+            client.go_on()
 
     # --- time ---
 
--- a/larchhall/wire/client.py
+++ b/larchhall/wire/client.py
@@ -137,6 +137,16 @@
         self._read_on()
         self._read_if_wanted()
 
+    def hold(self) -> None:
+        """What comes is kept, not read, until its turn."""
+        self.reading_on = True
+
+    def go_on(self) -> None:
+        """Its turn has come."""
+        if not self.broken:
+            self._resume()
+            self._count_partial()
+
     def _read_if_wanted(self) -> None:
         """Nothing more is read while frames wait for their turn, or answers for their reader."""
         if self.transport is None or self.transport.is_closing():
@@ -172,7 +182,7 @@
         """Danger: who says nothing, stops in the middle of a frame or stays for good after one request holds
         a descriptor that usual clients need. One timer a connection; it looks again when that may be due."""
         now = self.front.broker.now()
-        if self.open or self.unread():
+        if self.open or self.unread() or self.reading_on:
             due = now + WHOLE
         elif self.parser.held():
             due = self.begun + WHOLE
