--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -14,8 +14,9 @@
 from hypothesis import strategies as st
 
 from larchhall.broker import Ask, Broker, Unusable
-from larchhall.config import parse
+from larchhall.config import parse, parse_settings
 from larchhall.deadlines.gates import Hand
+from larchhall.interface import Result
 from larchhall.standins.client import Book
 from larchhall.standins.engine import Keys, key_ran_twice
 from larchhall.standins.world import World
@@ -31,6 +32,7 @@
 
 from . import deployments
 from .deployments import ALL, MS, S
+from .helpers import Harness, entry
 from .sockets import STATEMENT, Client, Engine, event, make_config, on_uvloop, running, target, until
 
 KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
@@ -100,6 +102,19 @@
         orders.broker._check(orders.ask("load", nonce="f" * 32))
 
 
+@pytest.mark.parametrize("name", ["warehouse", "bound"])
+@pytest.mark.parametrize(("part", "sends"), [(0.5, 2), (1.0, 1), (1.2, 1)])
+def test_no_keyed_attempt_after_its_window(name: str, part: float, sends: int) -> None:
+    """Danger: past the window no engine knows the key, and the load runs twice."""
+    settings = parse_settings(ALL[name])
+    window = next(c.window for c in settings.classes if c.name == "load")
+    h = Harness(settings, *(entry(i, zone="east") for i in (1, 2, 3)))
+    h.arrive("r", "load", 10 * window, estimate=MS, tenant="acme")
+    h.now += int(part * window)  # its timers don't fire: nothing else ends the first attempt
+    h.end("r", Result.ERROR)
+    assert len(h.sends("r")) == sends
+
+
 # --- notes ---
 
 @on_uvloop
