All orders of the seven events that the second deployment names, with answers after the undo

Need: the second deployment asks for every order of time-out, undo, late answer, reset, note, drain and departure. The test had sequences of three among twelve, and its answers never came after an `undo`: they went to the connection of an attempt that was still open.

Change: a time-out past every deadline, and an answer on the first attempt's connection whatever has become of it; all 5,040 orders of the seven on the warehouse's settings for both classes, all triples on the others.

--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -217,6 +217,7 @@
         self.out: dict[int, set[bytes]] = {}
         self.jammed: set[int] = set()
         self.dos = self.most_out = 0
+        self.first = 0  # the connection of the first attempt
         self.answers: list[str] = []
         self.parser: dict[int, resp.RespParser] = {}
         self.connections: dict[int, EngineConnection] = {}
@@ -251,6 +252,7 @@
         for parts in self.parser[fd].feed(bytes(data)):
             if parts[0] == b"do":
                 self.out[fd].add(parts[1])
+                self.first = self.first or fd
                 self.dos += 1
                 self.most_out = max(self.most_out, sum(len(out) for out in self.out.values()))
             elif parts[0] == b"undo":
@@ -298,6 +300,15 @@
             for _ in range(3):
                 self.clock.time += S
                 self.turn()
+        elif what == "timeout":  # past the deadline of every class
+            for _ in range(9):
+                self.clock.time += 3 * S
+                self.turn()
+        elif what == "late":  # the first attempt is answered, whatever has become of it
+            connection = self.connections[self.first]
+            if not connection.closed:
+                self.out[self.first].discard(b"9" * 16)
+                connection.data_received(resp.encode(b"9" * 16, b"served", b"-", b"a\tb\tc\n"))
         elif what == "left":
             broker.leave(self.request)
         elif what == "drain":
@@ -329,6 +340,7 @@
             self.turn()
 
 
+SEVEN = ["timeout", "overdue", "late", "reset", "update", "drain", "left"]  # overdue: it is undone
 EVENTS = ["tick", "overdue", "left", "drain", "free", "served", "crashed", "overload", "update", "reset",
           "spoilt", "jam"]
 
@@ -339,7 +351,8 @@
     facts = ALL[name]
     limits = facts["policy_limits"]
     spec = next(c for c in facts["classes"] if c["name"] == route)
-    for order in itertools.product(EVENTS, repeat=3 if name == "warehouse" else 2):
+    orders_of_all = itertools.permutations(SEVEN) if name == "warehouse" else itertools.permutations(SEVEN, 3)
+    for order in (*itertools.product(EVENTS, repeat=3 if name == "warehouse" else 2), *orders_of_all):
         orders = Orders(facts, monkeypatch)
         orders.take(route)
         for what in order:
