--- a/tests/test_start_processes.py
+++ b/tests/test_start_processes.py
@@ -60,6 +60,15 @@
     raise AssertionError(f"n{member.number}: {said}\n{member.log()}")
 
 
+async def leave_a_list(raw: dict[str, Any], more: str) -> None:
+    """One broker starts, has the list, and ends."""
+    with fleet(1, raw, more) as brokers:
+        brokers.start()
+        await status(brokers.members[0], ready)
+        brokers.members[0].signal(signal.SIGTERM)
+        await asyncio.to_thread(brokers.members[0].wait, HANG)
+
+
 def at(stage: str) -> Callable[[dict[str, Any]], bool]:
     return lambda said: said["stage"] == stage
 
@@ -135,11 +144,7 @@
     kept = tmp_path / "list"
     more = f', last_list = "{kept}", installation = "here"'
     raw["settings"] = {**raw["settings"], "classes": deployments.COUNTERS["classes"]}
-    with fleet(1, raw, more) as brokers:
-        brokers.start()
-        await status(brokers.members[0], ready)
-        brokers.members[0].signal(signal.SIGTERM)
-        await asyncio.to_thread(brokers.members[0].wait, HANG)
+    await leave_a_list(raw, more)
     script = Script([Fault(0.0, 3.0, "bus", Kind.REFUSE)], time.monotonic)
     link = Link("bus", "127.0.0.1", world.bus_port, script)
     with fleet(1, {**raw, "bus": f"127.0.0.1:{await link.start()}"}, more) as brokers:
@@ -334,11 +339,7 @@
     kept = tmp_path / "list"
     more = f', last_list = "{kept}"'
     raw["settings"] = {**raw["settings"], "classes": deployments.COUNTERS["classes"]}
-    with fleet(1, raw, more) as brokers:
-        brokers.start()
-        await status(brokers.members[0], ready)
-        brokers.members[0].signal(signal.SIGTERM)
-        await asyncio.to_thread(brokers.members[0].wait, HANG)
+    await leave_a_list(raw, more)
     port = world.engines["s-1"].port  # listens still, and is another engine now
     script = Script([Fault(0.0, 2.0, "bus", Kind.REFUSE)], time.monotonic)
     link = Link("bus", "127.0.0.1", world.bus_port, script)
