Start: pauses spread over the ramp, a full disk, and engines' load of 1,000 on a simulated clock

A refusal in the ramp told the module's pause, at most the refused share of a second (brain.py _finish), so that all that were refused in its first second were back in its second. A full disk was never played, nor engines that never answer, a wrong fleet_size, a clock set back and requests in hand of a paused broker on real processes; the simulated clock knew the bus alone.

Change: start/ramp.py pause() draws over what is left of the ramp, within max_retry_after, in the ramp alone (Broker.stay_away, None else). standins/simulated.py runs the module of each broker and the engines' machines on one clock. benchmarks.start: cold_world (all brokers and all engines start at once), the whole list at 1 MB/s, what was served of the demand, threads in hand at an engine.

--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -16,18 +16,24 @@
 import time
 from collections import Counter
 from collections.abc import Sequence
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 import uvloop
 
+from larchhall import interface as api
+from larchhall.facade import Beside, Outstanding
+from larchhall.standins.bus import target
 from larchhall.standins.client import Book
 from larchhall.standins.engine import ran_twice
 from larchhall.standins.fleet import ROOT, Fleet
-from larchhall.standins.links import Fault, Kind, Link, Script
+from larchhall.standins.links import Fault, Kind, Link, Script, Way
+from larchhall.standins.machine import Machine
+from larchhall.standins.simulated import BEGIN, SimBroker, SimEngine, Simulation
 from larchhall.standins.world import World, config
 from larchhall.start.paces import Calls, probe_at, window
-from larchhall.start.ramp import Ramp
+from larchhall.start.ramp import Ramp, assumed
 from larchhall.start.terms import StartTerms
 
 from .harness import Figures, worktree
@@ -40,6 +46,9 @@
 # One schedule of faults, seconds from the start; played to the processes and on the simulated clock.
 FAULTS = (Fault(0.0, 5.0, "bus", Kind.REFUSE), Fault(9.0, 9.0, "bus", Kind.RESET),
           Fault(9.0, 10.5, "bus", Kind.REFUSE))
+ASKS = 4           # requests a second to each broker
+SLOW = (Fault(0.0, 600.0, "bus", Kind.RATE, Way.BACK, rate=1e6),)  # bytes a second, to all together
+GONE = 300         # engines in the slow service's list that are no more: some 60 kB
 SCRIPT = (f"start(list_connects = {RATE:g}, engine_probes = {PROBES}, engine_connects = {CONNECTS}, "
           "ramp = 4)")
 
@@ -57,11 +66,14 @@
 # --- real processes ---
 
 
-async def mass_start(count: int, engines: int, tree: Path, script: str, seconds: float, asks: int,
-                     faults: Sequence[Fault] = ()) -> dict[str, Any]:
-    """All at once, from the bus alone; then clients at each as soon as it is ready."""
+async def mass_start(count: int, engines: int, tree: Path, script: str, seconds: float, until: float,
+                     faults: Sequence[Fault] = (), gone: int = 0) -> dict[str, Any]:
+    """All at once, from the bus alone; then clients at each as soon as it is ready, until so many seconds
+    after the start. ``gone``: engines that are no more, which make the list long."""
     world = World()
     await world.start(*(f"s-{i}" for i in range(engines)))
+    for i in range(gone):
+        world.bus.tell(target(f"gone-{i}", 9, "terminated"))
     link = Link("bus", "127.0.0.1", world.bus_port, Script(faults, time.monotonic))
     raw = config(world, "", fleet_size=count, tenants=[])
     raw["bus"] = f"127.0.0.1:{await link.start()}"
@@ -84,10 +96,12 @@
                     book = Book("127.0.0.1", member.port)
                     book.ids = itertools.count(1 + 1_000_000 * member.number)  # the ledgers go by statements
                     books.append(book)
-                    for i in range(asks):
+                    for i in itertools.count():
+                        if time.monotonic() > begun + until:
+                            break
                         route = "till-load" if i % 6 == 5 else "lookup"
                         await book.ask("", route, 40, 4_000 * MS)
-                        await asyncio.sleep(0.25)
+                        await asyncio.sleep(1 / ASKS)
                     await book.settle(5.0)
                     return took
                 await asyncio.sleep(0.1)
@@ -101,7 +115,16 @@
     link.stop()
     world.stop()
     seen = Counter(a.code for a in asked)
-    return {"spread": spread, "bus": link.came, "bytes": link.counts["back"], "ready": took,
+    first = time.time_ns() - int((time.monotonic() - begun) * 1e9)
+
+    def of_demand(span: float) -> float:
+        """Served of what clients that knew of no start would have asked in its first seconds."""
+        wanted = count * ASKS * min(span, until)
+        return sum(a.code == 0 and a.sent - first < span * S for a in asked) / wanted
+
+    return {"of_demand": {span: of_demand(span) for span in (10.0, 30.0) if span <= until},
+            "in_hand": max(in_hand(e.machine) for e in world.engines.values()),
+            "spread": spread, "bus": link.came, "bytes": link.counts["back"], "ready": took,
             "engine_connects": max((busiest(t) for t in connects.values()), default=0),
             "fallen": sum(e.machine.fallen for e in world.engines.values()),
             "memory": sum(memory) / len(memory),
@@ -110,6 +133,13 @@
             "twice": len(ran_twice(list(world.engines.values()), b"till-load"))}
 
 
+def in_hand(machine: Machine) -> float:
+    """The most threads that a machine had in hand at once, a core."""
+    steps = sorted([(r.begun, r.threads) for r in machine.ledger]
+                   + [(r.ended or machine.now, -r.threads) for r in machine.ledger])
+    return max(itertools.accumulate((threads for _, threads in steps), initial=0)) / machine.cores
+
+
 def _memory(pid: int) -> float:
     with open(f"/proc/{pid}/status", encoding="ascii") as file:
         return next(int(line.split()[1]) for line in file if line.startswith("VmRSS")) / 1024
@@ -126,7 +156,10 @@
                      most=6 * window(count, RATE) / S + 15 if paced else None)
     figures.tell(f"{name}.engine_connects_in_the_busiest_second", got["engine_connects"],
                  most=1.1 * (PROBES + CONNECTS) if paced else None)
+    figures.tell(f"{name}.threads_a_core_in_hand_at_one_engine", got["in_hand"])
     figures.tell(f"{name}.engines_fallen", got["fallen"], most=0)
+    for span, share in got["of_demand"].items():
+        figures.tell(f"{name}.served_of_the_demand_in_{span:g}_s", share)
     figures.tell(f"{name}.served", got["served"], least=0.5 if paced else None)
     figures.tell(f"{name}.unanswered", got["unanswered"], most=0 if paced else None)
     figures.tell(f"{name}.strays", got["strays"], most=0)
@@ -178,6 +211,115 @@
     return {"calls": calls, "probes": probes, "full": full}
 
 
+LOAD = 0.6    # of what the warm engines can do, asked from the first second on
+CLASSES = (api.RequestClass("lookup", S, 5 * S, 1.0),
+           api.RequestClass("report", 3 * S // 2, 20 * S, 10.0, threads=4))
+
+
+def cold_world(brokers: int, seed: int, paced: bool, seconds: float) -> dict[str, Any]:
+    """All brokers and all engines start at once, and clients ask from the first second: the module of each
+    broker, the start's paces and ramp, and the engines' machines, on one simulated clock."""
+    sim = Simulation(seed)
+    engines = {n: SimEngine(sim, n, Machine(started=BEGIN - sim.draw.randrange(S // 2)))
+               for n in (sim.draw.randrange(1 << 32) for _ in range(max(3, min(80, 2 * brokers // 5))))}
+    terms = StartTerms(list_connects=RATE, engine_probes=PROBES)
+    full: list[float] = []
+    members: list[SimBroker] = []
+
+    def ramps(broker: SimBroker, ramp: Ramp, seen: list[int]) -> None:
+        served = sum(a[3] for a in broker.asked.values())
+        share = ramp.period(sim.now, served - seen[0], 0)
+        seen[0] = served
+        widest = broker.facade.widest()
+        left = {n: Outstanding(*assumed(share, threads, bound, widest), 0)
+                for n, (threads, bound) in broker.facade.shares().items()} if share < 1 else {}
+        broker.report(Beside(left, 1))
+        if ramp.over():
+            full.append((sim.now - BEGIN) / S)
+        else:
+            sim.at(sim.now + S, lambda: ramps(broker, ramp, seen))
+
+    def listed(broker: SimBroker) -> None:
+        broker.list_told()
+        if not paced:
+            return opens(broker)
+        for n in engines:
+            sim.at(probe_at(sim.now, n, broker.settings.me, brokers, PROBES), partial(broker.probe, n))
+        sim.at(sim.now + terms.contact_wait, lambda: opens(broker))
+
+    def opens(broker: SimBroker) -> None:
+        if paced:
+            ramps(broker, Ramp(terms, sim.now), [0])
+        members.append(broker)
+
+    for me in range(brokers):
+        settings = api.Settings(
+            classes=CLASSES, fleet_size=brokers, me=me, tick=25 * MS, kind_cores=(("std", 8),),
+            limits=api.Limits(probes=True, max_attempts=3, max_retry_after=2 * S),
+            contract=api.Contract(cold_from=0.36, cold=12 * S, fall=1_500 * MS, fall_multiple=2.0))
+        broker = SimBroker(sim, settings, me, engines)
+        begun = sim.now + sim.draw.randrange(S)
+        first_call = Calls(me, brokers, RATE, sim.draw.random).first(begun)
+        sim.at(first_call if paced else begun, partial(listed, broker))
+    mean = 0.9 * 0.2 * S + 0.1 * 4 * S
+    gap = int(mean / (LOAD * 8 * len(engines)))
+    asked = itertools.count()
+
+    def arrive() -> None:
+        sim.at(sim.now + int(sim.draw.expovariate(1) * gap), arrive)
+        if members:  # a front hands them to who is ready
+            number, wide = next(asked), sim.draw.random() < 0.1
+            work = sim.draw.uniform(0.5, 1.5) * (4 * S if wide else S // 5)
+            sim.draw.choice(members).ask(str(number), "report" if wide else "lookup", work, 4 if wide else 1,
+                                         (20 if wide else 5) * S)
+
+    arrive()
+    sim.run(seconds)
+    done = [a for b in members for a in b.asked.values()]
+
+    def served(until: float) -> float:
+        came = [a for a in done if a[0] - BEGIN < until * S]
+        return sum(a[3] and a[2] - a[0] <= 5 * S for a in came) / max(1, until * S / gap)
+
+    budget = 2.0 * 8 * 1.5 * S  # what an engine that is warm may be sent within 1.5 s
+    probes = [[t / S for t in e.probes] for e in engines.values()]
+    return {"fallen": sum(e.machine.fallen for e in engines.values()), "served_10": served(10.0),
+            "served_30": served(30.0), "full": max(full, default=0.0), "opened": len(full),
+            "most": max(e.most for e in engines.values()) / budget, "probes": max(map(busiest, probes)),
+            "pushed": max(pushed(e.machine) for e in engines.values())}
+
+
+def pushed(machine: Machine) -> float:
+    """The most that an engine was sent within its time to fall while it was cold, against its contract."""
+    came = [(r.begun, r.work) for r in machine.ledger if r.begun < machine.started + machine.cold]
+    worst, first_, within = 0.0, 0, 0.0
+    for at, work in came:
+        within += work
+        while came[first_][0] <= at - machine.fall:
+            within -= came[first_][1]
+            first_ += 1
+        worst = max(worst, within / (machine.fall_multiple * machine.pace(at) * machine.cores * machine.fall))
+    return worst
+
+
+def cold_worlds(figures: Figures, seeds: int, sizes: tuple[int, ...], seconds: float) -> None:
+    for size in sizes:
+        for paced, name in ((False, "before"), (True, "paced")):
+            runs = [cold_world(size, seed, paced, seconds) for seed in range(1, seeds + 1)]
+            at = f"cold_world.{name}_{size}"
+            figures.tell(f"{at}.engines_fallen", sum(r["fallen"] for r in runs), most=0 if paced else None)
+            figures.tell(f"{at}.sent_while_cold_against_contract", max(r["pushed"] for r in runs),
+                         most=1.0 if paced else None)
+            figures.tell(f"{at}.work_in_hand_against_contract", max(r["most"] for r in runs))
+            figures.tell(f"{at}.probes_of_one_engine_in_the_busiest_second", max(r["probes"] for r in runs))
+            for part in ("served_10", "served_30"):
+                figures.tell(f"{at}.{part}", sum(r[part] for r in runs) / len(runs))
+            if paced:
+                figures.tell(f"{at}.all_full_s", max(r["full"] for r in runs),
+                             most=2 * window(size, RATE) / S + 2 + 4 * 8)
+                figures.tell(f"{at}.at_their_whole_share", min(r["opened"] for r in runs) / size, least=1.0)
+
+
 def curves(figures: Figures, seeds: int, sizes: tuple[int, ...]) -> dict[str, list[float]]:
     kept: dict[str, list[float]] = {}
     away = {0.0: (), 30.0: (Fault(0.0, 30.0, "bus", Kind.REFUSE),), 10.5: FAULTS}
@@ -220,19 +362,25 @@
     given = parser.parse_args()
     figures = Figures()
     kept = curves(figures, 2 if given.quick else 20, (10, 100) if given.quick else (10, 100, 1_000))
+    cold_worlds(figures, 1 if given.quick else 2, (10,) if given.quick else (10, 100, 1_000),
+                16.0 if given.quick else 40.0)
     if given.plot:
         plot(given.plot, kept)
     count = given.count or (24 if given.quick else 200)
-    engines, asks = max(3, count // 10), 12 if given.quick else 40
-    got = await mass_start(count, engines, ROOT, SCRIPT, 60.0, asks)
-    tell(figures, f"processes.paced_{count}", got, count, True)
+    engines, until = max(3, count // 10), 6.0 if given.quick else 30.0
     few = min(count, 24)
-    tell(figures, f"processes.faults_{few}",
-         await mass_start(few, 3, ROOT, SCRIPT, 60.0, asks, FAULTS), few, True)
+    runs: list[tuple[str, int, int, Sequence[Fault], int]] = [
+        (f"paced_{count}", count, engines, (), 0), (f"faults_{few}", few, 3, FAULTS, 0)]
+    if not given.quick:
+        runs.append((f"slow_{count}", count, engines, SLOW, GONE))
+    for name, size, pool, faults, gone in runs:
+        got = await mass_start(size, pool, ROOT, SCRIPT, 60.0, until, faults, gone)
+        tell(figures, f"processes.{name}", got, size, True)
     if not given.quick:
         with worktree(given.base) as tree:
-            tell(figures, f"processes.before_{count}",
-                 await mass_start(count, engines, tree, "", 60.0, asks), count, False)
+            for name, faults, gone in (("before", (), 0), ("before_slow", SLOW, GONE)):
+                tell(figures, f"processes.{name}_{count}",
+                     await mass_start(count, engines, tree, "", 60.0, until, faults, gone), count, False)
     return figures.exit()
 
 
--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -141,6 +141,7 @@
         self.story: Callable[[OpenRequest, str], None] | None = None
         self.more_figures: Callable[[], bytes] | None = None  # of what operators have switched on
         self.witness: Callable[[int, Result], None] | None = None  # hears what becomes of probes
+        self.stay_away: Callable[[int], int] | None = None  # widens the pause of a refusal
         self.margin = WAY_BACK
         self.later: list[tuple[Attempt, Result]] = []
         self.count = 0
@@ -397,7 +398,8 @@
             if request is None or request.client is None:
                 continue
             if verdict.refused:
-                self._answering(request, OVERLOAD).refused(request.stream, -(-verdict.pause // MS))
+                pause = verdict.pause if self.stay_away is None else self.stay_away(verdict.pause)
+                self._answering(request, OVERLOAD).refused(request.stream, -(-pause // MS))
             else:
                 self._answering(request, ERROR).failed(request.stream, "")
             self._end_scope(request)
--- /dev/null
+++ b/larchhall/standins/simulated.py
@@ -0,0 +1,179 @@
+"""Many brokers' decisions and their engines on one simulated clock, in one process. Pure: no socket, no
+thread, no clock of the machine's; a run of a seed is the same each time."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from ..facade import (
+    Ended,
+    EngineEntry,
+    EngineNews,
+    EngineState,
+    Facade,
+    LoadReport,
+    News,
+    Orders,
+    Probed,
+    Query,
+    Result,
+    Settings,
+)
+from ..state.wheel import Wheel
+from .machine import Machine, Run
+
+MS = 1_000_000
+S = 1_000 * MS
+WAY = MS // 2     # one way over a link
+BEGIN = 100 * S   # the clock's first moment: 0 means "long ago" to a machine
+
+
+class Simulation:
+    """What is to happen, by its time; ``at`` takes the calls in the order in which they fall due."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.now, self.draw = BEGIN, random.Random(seed)
+        self.heap: list[tuple[int, int, Callable[[], None]]] = []
+        self.count = itertools.count()
+
+    def at(self, when: int, call: Callable[[], None]) -> None:
+        heapq.heappush(self.heap, (max(when, self.now), next(self.count), call))
+
+    def run(self, seconds: float) -> None:
+        """To so many seconds after the beginning."""
+        end = BEGIN + int(seconds * S)
+        while self.heap and self.heap[0][0] <= end:
+            self.now, _, call = heapq.heappop(self.heap)
+            call()
+        self.now = end
+
+
+class SimEngine:
+    """A machine; ``most``: the most work that it had in hand, thread-nanoseconds."""
+
+    def __init__(self, sim: Simulation, number: int, machine: Machine) -> None:
+        self.sim, self.number, self.machine = sim, number, machine
+        self.askers: dict[bytes, Callable[[Result], None]] = {}
+        self.turn, self.most, self.probes = 0, 0.0, list[int]()
+
+    def load(self) -> LoadReport:
+        threads = sum(r.threads for r in self.machine.running.values())
+        return LoadReport(utilisation=min(1.0, threads / self.machine.cores),
+                          inflight=float(len(self.machine.running)))
+
+    def take(self, id: bytes, cls: str, work: float, threads: int, done: Callable[[Result], None]) -> None:
+        now = self.sim.now
+        self._end(self.machine.pass_time(now))
+        if self.machine.fallen:
+            return  # it says nothing any more
+        if not self.machine.arrive(now, id, cls.encode(), id, work, threads):
+            self.sim.at(now + WAY, lambda: done(Result.FULL))
+            return
+        self.askers[id] = done
+        self.most = max(self.most, sum(r.left for r in self.machine.running.values()))
+        self._look()
+
+    def _end(self, runs: list[Run]) -> None:
+        for run in runs:
+            done = self.askers.pop(run.id, None)
+            if done is not None and not self.machine.fallen:
+                self.sim.at(self.sim.now + WAY, lambda done=done: done(Result.SERVED))  # type: ignore[misc]
+
+    def _look(self) -> None:
+        self.turn += 1
+        turn, end = self.turn, self.machine.next_end(self.sim.now)
+        if end is not None:  # while it warms up its pace changes: looked at again
+            self.sim.at(min(end, self.sim.now + S // 4), lambda: self._due(turn))
+
+    def _due(self, turn: int) -> None:
+        if turn == self.turn:
+            self._end(self.machine.pass_time(self.sim.now))
+            self._look()
+
+
+class SimBroker:
+    """One broker's decisions behind their facade. ``asked``: of each request when it came, its class, when it
+    was answered (0: not yet), and whether an engine served it."""
+
+    def __init__(self, sim: Simulation, settings: Settings, seed: int, engines: dict[int, SimEngine]) -> None:
+        self.sim, self.settings, self.engines = sim, settings, engines
+        self.wheel = Wheel(settings.tick, sim.now)
+        self.facade = Facade(settings, seed, sim.now, self.wheel)
+        self.asked: dict[str, tuple[int, str, int, bool]] = {}
+        self.work: dict[str, tuple[float, int]] = {}
+        self.pauses: list[tuple[int, int]] = []
+        self.up = True
+        self._tick()
+
+    def _tick(self) -> None:
+        if not self.up:
+            return
+        self.wheel.advance(self.sim.now)
+        while self.facade.due:
+            self._carry_out(self.facade.tick(self.sim.now))
+        self.sim.at(self.sim.now + self.settings.tick, self._tick)
+
+    def kill(self) -> None:
+        self.up = False
+
+    def list_told(self) -> None:
+        self.report(EngineNews(True, tuple(
+            EngineEntry(e.number, EngineState.READY, "a", "std", started=e.machine.started)
+            for e in self.engines.values())))
+
+    def report(self, news: News) -> None:
+        if self.up:
+            self._carry_out(self.facade.report(self.sim.now, news))
+
+    def ask(self, id: str, cls: str, work: float, threads: int, patience: int) -> None:
+        self.asked[id] = (self.sim.now, cls, 0, False)
+        if not self.up:
+            return
+        self.work[id] = (work, threads)
+        self._carry_out(self.facade.pick(self.sim.now, Query(
+            id, cls, patience, None, int(work), 10.0, 0, False)))
+
+    def probe(self, engine: int) -> None:
+        target = self.engines[engine]
+
+        def answer() -> None:
+            if not target.machine.fallen:
+                target.machine.pass_time(self.sim.now)
+                target.probes.append(self.sim.now)
+                load = target.load()
+                self.sim.at(self.sim.now + WAY,
+                            lambda: self.report(Probed(engine, Result.SERVED, 2 * WAY, load)))
+        self.sim.at(self.sim.now + WAY, answer)
+
+    def _carry_out(self, orders: Orders) -> None:
+        now = self.sim.now
+        for send in orders.sends:
+            work, threads = self.work[send.request]
+            ended: list[bool] = []
+
+            def done(result: Result, send=send, sent=now, ended=ended) -> None:  # type: ignore[no-untyped-def]
+                if ended:
+                    return
+                ended.append(True)
+                over = result is Result.SERVED
+                if over:
+                    came, cls, answered, _ = self.asked[send.request]
+                    self.asked[send.request] = (came, cls, answered or self.sim.now, not answered)
+                load = self.engines[send.engine].load() if result in (Result.SERVED, Result.FULL) else None
+                self.report(Ended(send.request, send.attempt, send.engine, result, self.sim.now - sent, over,
+                                  load))
+
+            id = f"{self.settings.me}/{send.request}/{send.attempt}".encode()
+            self.sim.at(now + WAY, lambda send=send, id=id, work=work, threads=threads, done=done:  # type: ignore[misc]
+                        self.engines[send.engine].take(id, self.asked[send.request][1], work, threads, done))
+            self.sim.at(now + send.timeout, lambda done=done: done(Result.TIMEOUT))  # type: ignore[misc]
+        for verdict in orders.verdicts:
+            came, cls, answered, served = self.asked[verdict.request]
+            self.asked[verdict.request] = (came, cls, answered or now, served)
+            if verdict.refused:
+                self.pauses.append((now, verdict.pause))
+        for engine in orders.probes:
+            self.probe(engine)
--- a/larchhall/start/joins.py
+++ b/larchhall/start/joins.py
@@ -19,7 +19,7 @@
 from ..wire.feed import CONNECT, SILENT, Feed
 from .lastlist import MOST, BadList, LastList, decode, encode
 from .paces import Calls, Gate, probe_at, slot, time_out
-from .ramp import Ramp, assumed
+from .ramp import Ramp, assumed, pause
 from .stages import Source, Stage, Start
 from .terms import StartTerms
 
@@ -232,6 +232,7 @@
     def _skip(self, now: int) -> None:
         self.start.skip(now, "another process of this broker serves beside it")
         self.node.broker.pools.own, self.node.broker.pools.turn = self.own, None
+        self.node.broker.stay_away = None
 
     def _ramp(self, now: int) -> None:
         broker = self.node.broker
@@ -242,6 +243,7 @@
         first_time = self.ramp is None
         if self.ramp is None:
             self.ramp = Ramp(self.terms, now)
+            broker.stay_away = self._stay_away
         counts = [sum(c[status] for c in broker.figures.replies.values()) for status in (SUCCESS, ERROR)]
         before, at = self.ramp.share, self.ramp.at
         share = self.ramp.period(now, counts[0] - self.counted[0], counts[1] - self.counted[1])
@@ -254,7 +256,12 @@
             broker.beside(Beside(left, 1))
         self.start.ramped(now, share)
         if self.start.stage is Stage.FULL:
-            broker.pools.own, broker.pools.turn = self.own, None
+            broker.pools.own, broker.pools.turn, broker.stay_away = self.own, None, None
+
+    def _stay_away(self, told: int) -> int:
+        limits = self.node.config.settings.limits
+        left = self.start.since + self.terms.ramp - self.node.clock.now()
+        return pause(told, max(0, left), limits.max_retry_after * limits.retry_after, self.draw())
 
     # --- the last list ---
 
--- a/larchhall/start/ramp.py
+++ b/larchhall/start/ramp.py
@@ -60,3 +60,10 @@
     query nothing would ever be sent, and no news could come: room for one is always left."""
     open_threads = max(float(widest), share * threads)
     return max(0, math.floor(threads - open_threads)), max(0, int(bound * (1 - share)))
+
+
+def pause(told: int, left: int, most: int, draw: float) -> int:
+    """How long a refused client is told to stay away, ns, with ``left`` of the ramp to go: what the module
+    says, or a draw from 0 to 1 over what is left if that is longer. Danger: all that were refused in its
+    first second would be back in its second."""
+    return told if most <= 0 else max(told, min(most, int(draw * left)))
--- a/tests/test_start_processes.py
+++ b/tests/test_start_processes.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import time
 from collections.abc import Callable
@@ -21,6 +22,7 @@
 from larchhall.standins.fleet import Fleet, Member
 from larchhall.standins.links import Fault, Kind, Link, Script, Way, partition
 from larchhall.standins.world import MS, World, config
+from larchhall.start.lastlist import LastList, encode
 from larchhall.wire import frames
 
 from . import deployments
@@ -165,7 +167,12 @@
     world.stop()
 
 
-@pytest.mark.parametrize("kept", ["", "larchhall-list 1 00\n{}\n", "nonsense"])
+def from_tomorrow() -> str:
+    """The clock has been set back between the runs."""
+    return encode(LastList("", 9, time.time_ns() + 86_400 * 10**9, (target("s-9", 9),)))
+
+
+@pytest.mark.parametrize("kept", ["", "larchhall-list 1 00\n{}\n", "nonsense", from_tomorrow()])
 @on_uvloop
 async def test_a_bad_last_list_is_set_aside_and_the_bus_waited_for(tmp_path: Path, kept: str) -> None:
     world, raw = await world_of("s-1")
@@ -191,6 +198,59 @@
     world.stop()
 
 
+@on_uvloop
+async def test_a_disk_that_is_full_costs_the_last_list_alone(tmp_path: Path) -> None:
+    """The limit on a file's size stands for the disk: each write past it fails, half of it done."""
+    world, raw = await world_of("s-1")
+    world.bus.tell(*(target(f"s-{i}", 9, "terminating") for i in range(2, 300)))
+    kept = tmp_path / "list"
+    with fleet(2, raw, f', last_list = "{kept}"') as brokers:
+        brokers.start()
+        for member in brokers.members:
+            assert member.process is not None
+            resource.prlimit(member.process.pid, resource.RLIMIT_FSIZE, (8_192, 8_192))
+        for member in brokers.members:
+            await status(member, at("full"))
+            await until(lambda member=member: "last list: not kept" in member.log())  # type: ignore[misc]
+            assert await member.ready()
+        assert not list(tmp_path.iterdir())  # no half of one is left behind
+        brokers.members[0].signal(signal.SIGTERM)
+        assert await asyncio.to_thread(brokers.members[0].wait, HANG) == 0
+    world.stop()
+
+
+@on_uvloop
+async def test_engines_that_accept_and_never_answer_hold_up_no_start() -> None:
+    world, raw = await world_of("s-1")
+    silent = Engine(lambda *_: None)
+    port = await silent.start()
+    world.bus.tell(target("s-2", port), target("s-3", port))
+    with fleet(3, raw) as brokers:
+        brokers.start()
+        for member in brokers.members:
+            said = await status(member, ready)
+            assert "time-out: heard of 1 of 3 only" in str(said["passed"])
+            await status(member, at("full"))
+    world.stop()
+
+
+@pytest.mark.parametrize("told", [2, 18])  # they are 6
+@on_uvloop
+async def test_a_fleet_size_wrong_by_three_is_a_rate_or_a_wait_wrong_by_three(told: int) -> None:
+    world, raw = await world_of("s-1")
+    link = Link("bus", "127.0.0.1", world.bus_port, Script([], time.monotonic))
+    raw["settings"] = {**raw["settings"], "fleet_size": told}
+    slow = "start(list_connects = 4, engine_probes = 200, ramp = 1, floor = 0.25)"
+    with Fleet(6, {**raw, "bus": f"127.0.0.1:{await link.start()}"}, slow) as brokers:
+        brokers.start()
+        for member in brokers.members:
+            await status(member, at("full"))
+        most = max(sum(0 <= other - one < 1.0 for other in link.came) for one in link.came)
+        assert len(link.came) == 6 and most <= (4 + 2) * max(1, 6 // told)
+    link.stop()
+    world.stop()
+
+
 @on_uvloop
 async def test_half_of_them_killed_in_the_ramp_and_a_paused_one_that_wakes_all_get_there() -> None:
     world, raw = await world_of("s-1", "s-2", "s-3")
@@ -202,10 +262,16 @@
             member.kill()
             member.start()
         paused = brokers.members[3]
+        held = Book("127.0.0.1", paused.port)
+        in_hand = [await held.ask("", "lookup", work, 1_500 * MS) for work in (500, 1_000, 60_000)]
+        await until(lambda: sum(len(e.machine.running) for e in world.engines.values()) >= 1)
         paused.signal(signal.SIGSTOP)
         world.drain("s-3")  # it sleeps over this
         await asyncio.sleep(2.0)
         paused.signal(signal.SIGCONT)
+        await held.settle(HANG)
+        assert [a.answers for a in in_hand] == [1, 1, 1]
+        held.close()
         for member in brokers.members:
             said = await status(member, lambda said: said["stage"] == "full" and said["listed"] == 2)
             assert said["share"] == 1.0
--- a/tests/test_start_pure.py
+++ b/tests/test_start_pure.py
@@ -11,7 +11,7 @@
 from larchhall.operators.script import OperatorFileError, run
 from larchhall.start import lastlist, paces
 from larchhall.start.lastlist import BadList, LastList, decode, encode
-from larchhall.start.ramp import MOST, Ramp, assumed
+from larchhall.start.ramp import MOST, Ramp, assumed, pause
 from larchhall.start.rates import lines
 from larchhall.start.stages import Source, Stage, Start
 from larchhall.start.terms import StartTerms
@@ -107,6 +107,14 @@
         assert now == within * S
 
 
+@pytest.mark.parametrize(("told", "left", "most", "draw", "then"), [
+    (S, 0, 2 * S, 0.9, S), (S, 8 * S, 2 * S, 0.1, S), (S, 8 * S, 5 * S, 0.5, 4 * S),
+    (S, 8 * S, 2 * S, 0.9, 2 * S), (0, 8 * S, 0, 0.9, 0)])  # the last: no advice is allowed
+def test_a_refusal_in_the_ramp_spreads_returns_over_it(told: int, left: int, most: int, draw: float,
+                                                       then: int) -> None:
+    assert pause(told, left, most, draw) == then
+
+
 def test_what_is_assumed_leaves_room_for_one_query_and_ends_with_the_ramp() -> None:
     """Danger: where nothing may be sent no news can come, and the ramp waits for it."""
     assert assumed(0.01, 16.0, 4e9, 4) == (12, int(0.99 * 4e9))
