--- a/larchhall/standins/simulated.py
+++ b/larchhall/standins/simulated.py
@@ -175,7 +175,8 @@
                 came, cls, answered, _ = self.asked[send.request]
                 self.asked[send.request] = (came, cls, answered or self.sim.now, not answered)
             load = engine.load() if result in (Result.SERVED, Result.FULL) else None
-            self.report(Ended(send.request, send.attempt, send.engine, result, self.sim.now - sent, served, load))
+            self.report(Ended(send.request, send.attempt, send.engine, result, self.sim.now - sent, served,
+                              load))
 
         id = f"{self.settings.me}/{send.request}/{send.attempt}".encode()
         cls = self.asked[send.request][1]
