--- a/tests/members_model.py
+++ b/tests/members_model.py
@@ -67,6 +67,11 @@
         return TERMS if name == "terms" else CHAINS[name]
 
 
+def made(number: int, generation: int, now: int) -> Detector:
+    draw: Any = Draw(number + 1 + 100 * generation)
+    return Detector(f"h{number}:1", TERMS, CHAINS[f"{number}/{generation}"], draw, now, number)
+
+
 class Broken(AssertionError):
     """A property does not hold; the schedule that leads there."""
 
@@ -74,8 +79,7 @@
 class World:
     def __init__(self) -> None:
         self.now = 1_000 * S
-        self.members = [Detector(f"h{i}:1", TERMS, CHAINS[f"{i}/0"], Draw(i + 1), self.now, i)  # type: ignore[arg-type]
-                        for i in range(3)]
+        self.members = [made(i, 0, self.now) for i in range(3)]
         self.count, self.generation = 0, [0, 0, 0]
         self.flying: list[tuple[int, bytes, int, Claim, Message]] = []
         self.known: list[dict[Identity, tuple[int, bool]]] = [{}, {}, {}]  # what each held: incarnation, gone
@@ -139,8 +143,7 @@
                 self.flying.clear()
             case "r":
                 self.generation[at] += 1
-                self.members[at] = Detector(f"h{at}:1", TERMS, CHAINS[f"{at}/{self.generation[at]}"],
-                                            Draw(at + 100), self.now, at)  # type: ignore[arg-type]
+                self.members[at] = made(at, self.generation[at], self.now)
                 self.members[at].seeds = [m.me.address for m in self.members if m is not self.members[at]]
                 self.known[at] = {}
         self.check()
