Members on several real processes with faults between them; doubt that falls ends no suspicion at once

Cause: a suspicion's end was counted from its beginning by the doubt of the moment (members/detector.py _deadline): a member that heard nobody held all others as suspects with a doubt of 8, and as answers came the doubt fell and their time had long been over: 'n4 members: 127.0.0.1:52057: removed by 127.0.0.1:44255' in an overlapping cut that began as another ended.

Change: an answer that ends a time of doubt begins all suspicions anew; a test on the simulated clock fails without it.

--- a/larchhall/members/detector.py
+++ b/larchhall/members/detector.py
@@ -423,7 +423,11 @@
         if found is None:
             return
         target, sent = found
-        self.health.reassured()
+        if self.health.reassured():
+            # Danger: as our doubt falls, so do the times that we give others: what was suspected while we
+            # heard nobody would end at once.
+            for doubted in self.suspicions.values():
+                doubted.begun = now
         self.joined = True
         if ack.seq == self.called:
             self.syncs.append(sender.address)
--- a/larchhall/members/health.py
+++ b/larchhall/members/health.py
@@ -11,6 +11,7 @@
 S = 1_000_000_000
 MOST = 8
 RECOVER = 5   # intervals
+DOUBTFUL = 3
 GAIN, VARIANCE_GAIN = 0.125, 0.25   # of a round trip's mean and deviation, as TCP's
 SLACK = 20_000_000                  # ns that our own ticks take
 MOST_TIME_OUT = 6 * S
@@ -27,8 +28,12 @@
     def doubt(self, by: int = 1) -> None:
         self.score = min(MOST, self.score + by)
 
-    def reassured(self) -> None:
+    def reassured(self) -> bool:
+        """An answer. True: until now we had reason to doubt ourselves, and what we hold against others is of
+        that time."""
+        doubtful = self.score >= DOUBTFUL or self.failed >= DOUBTFUL or self.recovers_at > 0
         self.score, self.failed, self.recovers_at = max(0, self.score - 1), 0, 0
+        return doubtful
 
     def stood_still(self, now: int, late: int) -> bool:
         """Our own timer was so much late. Danger: one that was paused wakes to time-outs of everybody
--- a/larchhall/standins/links.py
+++ b/larchhall/standins/links.py
@@ -211,8 +211,10 @@
                     data = await source.read(65_536)
                 sink.close()
 
-            await asyncio.gather(carry(there, first, reader, other),
-                                 carry(back, await other_reader.read(65_536), other_reader, writer))
+            async def answers(sink: asyncio.StreamWriter) -> None:
+                await carry(back, await other_reader.read(65_536), other_reader, sink)
+
+            await asyncio.gather(carry(there, first, reader, other), answers(writer))
         except (OSError, RuntimeError, asyncio.CancelledError):
             pass  # an end has gone
         finally:
--- a/tests/test_members_pure.py
+++ b/tests/test_members_pure.py
@@ -211,6 +211,16 @@
     assert all(made.members[i].detector.health.isolated(23) for i in deaf)
 
 
+def test_what_was_suspected_while_we_heard_nobody_begins_anew_once_we_hear() -> None:
+    """Danger: as the doubt in ourselves falls, all that we had suspected in it would end at once."""
+    for seed in range(6):
+        made = world(6, lost=lambda now, a, b: float(
+            10 * S <= now - BEGIN < 26 * S and b == 4
+            or 26 * S <= now - BEGIN < 60 * S and {a // 2, b // 2} == {0, 2}), seed=seed)
+        made.run(50)
+        assert [r for r in wrongly(made) if r[0] - BEGIN > 26 * S] == []
+
+
 def test_one_that_nobody_hears_goes_and_comes_back() -> None:
     made = world(lost=between(10, 50, lambda a, b: a == 3))
     others = [m for m in made.members if m.number != 3]
