--- a/larchhall/members/terms.py
+++ b/larchhall/members/terms.py
@@ -68,15 +68,15 @@
 
 def bounds(terms: MembersTerms, size: int) -> dict[str, float]:
     """Seconds from a member's end. ``suspected``: until the first other suspects it. All members draw whom
-    they probe, so that nobody probes one in m intervals with e^-m: 1.6, 4.6 and 14 intervals on average, in
-    99 of 100 and in a million cases, and one more in which the probe fails. ``removed``: until all have
-    removed it."""
+    they probe, so that nobody probes one in m intervals with e^-m: 0.7, 4.6 and 14 intervals in half of the
+    cases, in 99 of 100 and in all but a millionth; and one and a half in which the probe fails and the others
+    are looked at. ``removed``: until all have removed it."""
     interval, spread = terms.interval / S, 2 * math.ceil(math.log2(size + 1)) * terms.interval / S
     least, most = shortest(terms.interval, size) / S, LONGEST * shortest(terms.interval, size) / S
-    return {"suspected_median": 2.0 * interval, "suspected_p99": 5.6 * interval,
-            "suspected_worst": 15.0 * interval, "removed_median": 2.0 * interval + least + spread,
-            "removed_p99": 5.6 * interval + 2 * least + spread,
-            "removed_worst": 15.0 * interval + most + spread}
+    found = {"median": 2.2 * interval, "p99": 6.1 * interval, "worst": 15.5 * interval}
+    lasts = {"median": least, "p99": 2 * least, "worst": most}
+    return {**{f"suspected_{part}": found[part] for part in found},
+            **{f"removed_{part}": found[part] + lasts[part] + spread for part in found}}
 
 
 def lines(terms: MembersTerms, fleet: int) -> list[str]:
