--- a/larchhall/shares/terms.py
+++ b/larchhall/shares/terms.py
@@ -56,9 +56,9 @@
 
 
 def overshoot(terms: SharesTerms, limit: LimitTerms, rate: float, brokers: int, drift: float = 0.0) -> float:
-    """By how much all brokers together can be over, a second. Hard: 0 while clocks keep the stated drift; with
-    one beyond it, what may be lent twice, for the part of a lease by which it lasts too long. Soft: all may go
-    up at once, before any has heard of the others."""
+    """By how much all brokers together can be over, a second. Hard: 0 while clocks keep the stated drift;
+    with one beyond it, what may be lent twice, for the part of a lease by which it lasts too long. Soft: all
+    may go up at once, before any has heard of the others."""
     if limit.hard():
         return rate * (1 - terms.guaranteed) * min(1.0, 2 * max(0.0, drift - terms.drift))
     return rate * (brokers - 1) / brokers
@@ -71,14 +71,14 @@
 
 def lines(terms: SharesTerms, brokers: int) -> Iterable[str]:
     """For `check-config`."""
-    yield (f"limits: {len(terms.limits)}, leases of {terms.lease / S:g} s, {terms.guaranteed:.0%} guaranteed: "
-           f"each of {brokers} brokers {terms.guaranteed / brokers:.4f} of a limit without any contact")
+    yield (f"limits: {len(terms.limits)}, leases of {terms.lease / S:g} s, {terms.guaranteed:.0%} guaranteed"
+           f": each of {brokers} brokers {terms.guaranteed / brokers:.4f} of a limit without any contact")
     yield (f"limits: a home grants for {held_for(terms.promise, terms.drift) / S:.2f} s after more than half "
-           f"of {brokers} have agreed; another takes over within {(terms.promise + terms.lease) / S:g} s, and "
+           f"of {brokers} have agreed; another takes over within {(terms.promise + terms.lease) / S:g} s; "
            "until then leases are renewed, not raised")
     for limit in terms.limits:
         rate = f"{limit.rate:g} a second" if limit.rate else "as the settings have it"
         over = (f"0 while clocks differ by less than {terms.drift:.1%}" if limit.hard() else
                 f"{overshoot(terms, limit, 1.0, brokers):.2f} of it, once, in a cut or a jump")
-        yield (f"limits: {limit.name} ({limit.kind}): {rate}; what is acted on is {stale(terms, limit):g} s old "
-               f"at the most; over by {over}")
+        yield (f"limits: {limit.name} ({limit.kind}): {rate}; what is acted on is {stale(terms, limit):g} s "
+               f"old at the most; over by {over}")
--- a/larchhall/standins/shareworld.py
+++ b/larchhall/standins/shareworld.py
@@ -39,7 +39,8 @@
     LOOK = 50 * MS
 
     def __init__(self, count: int, terms: SharesTerms, limits: dict[str, float], seed: int,
-                 drift: float = 0.0, loss: float = 0.0, cut: Cut | None = None, view_delay: int = 4 * S) -> None:
+                 drift: float = 0.0, loss: float = 0.0, cut: Cut | None = None,
+                 view_delay: int = 4 * S) -> None:
         self.terms, self.limits, self.draw, self.drift = terms, dict(limits), random.Random(seed), drift
         self.loss, self.cut, self.view_delay = loss, cut, view_delay
         self.now, self.order = BEGIN, itertools.count()
