Limits and verdicts are shared by the brokers of an installation; off without the words

Leased parts reach the module as settings (fleet_size, quotas), verdicts and operators' words as words on engines (EngineBan): the module decides as ever. `limit`, `limits`, `verdicts` in the operators' file, `larchhall limits show|lend|recall`, `larchhall verdicts show|clear|pin|out`.

Cause found beside it: books.py TokenBucket(before=...) kept the old level and set its time to now, so that what had been filled since the last take was lost at each new setting (SIGHUP too); with leases told each second a slow tenant would have lost all of it.

--- a/larchhall/books.py
+++ b/larchhall/books.py
@@ -87,7 +87,7 @@
 
     def __init__(self, rate: float, most: float, now: int, before: TokenBucket | None = None) -> None:
         self.rate, self.most, self.at = rate, most, now
-        self.tokens: float = most if before is None else min(most, before.tokens)
+        self.tokens: float = most if before is None or not before.take(now, 0.0) else min(most, before.tokens)
 
     def take(self, now: int, tokens: float = 1.0) -> bool:
         self.tokens, self.at = min(self.most, self.tokens + self.rate * (now - self.at)), now
--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -141,7 +141,10 @@
         self.story: Callable[[OpenRequest, str], None] | None = None
         self.more_figures: list[Callable[[], bytes]] = []  # of what operators have switched on
         self.adjust: list[Callable[[Settings], Settings]] = []  # what the module goes by, beside the files
-        self.witness: Callable[[int, Result], None] | None = None  # hears what becomes of probes
+        self.witness: list[Callable[[int, Result], None]] = []  # hear what becomes of probes
+        self.said: Callable[[str, bool], None] | None = None  # hears operators' words on engines
+        self.outcome: Callable[[int, Result], None] | None = None  # hears what becomes of attempts
+        self.arriving: Callable[[Ask, int], None] | None = None  # sees each request before it is decided on
         self.stay_away: Callable[[int], int] | None = None  # widens the pause of a refusal
         self.margin = WAY_BACK
         self.later: list[tuple[Attempt, Result]] = []
@@ -204,6 +207,13 @@
             settings = change(settings)
         return settings
 
+    def tell(self, news: News) -> None:
+        """What others than the engines and clients of this broker have found out."""
+        self._report(news)
+
+    def probe(self, engine: int) -> None:
+        self._probe(self.now(), engine)
+
     def readjust(self) -> None:
         """What `adjust` says has changed."""
         self._report(Retuned(self._adjusted(self.config.settings)))
@@ -247,6 +257,8 @@
         patience -= min(self.margin, patience // 4)
         if came and self.terms.count_from == "first":
             patience = max(1, patience - (now - came))
+        if self.arriving is not None:
+            self.arriving(ask, now)
         self.count += 1
         request = OpenRequest(str(self.count), trace, ask.route.encode(), ask.statement, client,
                               stream, now + patience, ask.customer or "", came or now, now, nonce=ask.nonce)
@@ -302,6 +314,8 @@
             return False
         if out != self.bans.out(uid):
             self.take_word(uid, Word(self.now(), out))
+        if self.said is not None:
+            self.said(uid, out)
         return True
 
     def take_word(self, uid: str, word: Word) -> None:
@@ -642,8 +656,8 @@
         engine, sent = self.probing.pop(tag, (None, 0))
         if engine is not None:
             self._report(Probed(engine, result, self.now() - sent, self._load(meter)))
-            if self.witness is not None:
-                self.witness(engine, result)
+            for heard in self.witness:
+                heard(engine, result)
 
     def lost(self, connection: EngineConnection, why: str, spoilt: bool) -> None:
         """Danger: what was open on a connection that ended may have run. Where a spoilt answer made us end
@@ -682,6 +696,8 @@
         request.attempts.pop(attempt.number, None)
         if attempt.paid and self.budget is not None and not attempt.written:
             self.budget.back(request.route.decode(), request.customer)
+        if self.outcome is not None:
+            self.outcome(attempt.engine, result)
         latency = (attempt.answered or self.now()) - attempt.sent
         self._report(Ended(request.id, attempt.number, attempt.engine, result, latency,
                            request.client is None, load))
--- a/larchhall/cli.py
+++ b/larchhall/cli.py
@@ -103,6 +103,16 @@
 
         for line in member_lines(said.members, config.settings.fleet_size):
             click.echo(line)
+    if said is not None and said.shares is not None:
+        from .shares.terms import lines as share_lines
+
+        for line in share_lines(said.shares, config.settings.fleet_size):
+            click.echo(line)
+    if said is not None and said.verdicts is not None:
+        from .verdicts.terms import lines as verdict_lines
+
+        for line in verdict_lines(said.verdicts, config.settings.fleet_size):
+            click.echo(line)
 
 
 @main.command()
@@ -149,6 +159,30 @@
         return members
 
 
+class _LazyLimits(_Lazy):
+    def _load(self) -> click.Group:
+        from .limits_cli import limits
+
+        return limits
+
+
+@main.group(cls=_LazyLimits)
+def limits() -> None:
+    """Show the limits that brokers share, lend them, recall them."""
+
+
+class _LazyVerdicts(_Lazy):
+    def _load(self) -> click.Group:
+        from .limits_cli import verdicts
+
+        return verdicts
+
+
+@main.group(cls=_LazyVerdicts)
+def verdicts() -> None:
+    """Show what brokers know together of engines; say a word for all of them."""
+
+
 @main.group(cls=_LazyMembers)
 def members() -> None:
     """Show which brokers are there, leave, look at the keys."""
--- a/larchhall/deadlines/further.py
+++ b/larchhall/deadlines/further.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 MOST_KEPT = 4_096
@@ -38,6 +39,7 @@
     terms: Terms
     tokens: dict[tuple[str, str], float] = field(default_factory=dict)
     refused: int = 0
+    gate: Callable[[], bool] | None = None  # asked besides, where brokers share such a limit
 
     def _key(self, route: str, tenant: str) -> tuple[str, str]:
         return route, tenant if self.terms.by_tenant else ""
@@ -56,7 +58,7 @@
         """Whether one more attempt may be made; it is paid for at once."""
         key = self._key(route, tenant)
         left = self.tokens.get(key, self.terms.of(route)[1])
-        if left < 1:
+        if left < 1 or self.gate is not None and not self.gate():
             self.refused += 1
             return False
         self.tokens[key] = left - 1
--- a/larchhall/members/joins.py
+++ b/larchhall/members/joins.py
@@ -17,7 +17,7 @@
 from .chain import Chain
 from .codec import MOST_FRAME, BadKeys, Codec, KeyRing, Refused, read_keys
 from .detector import Detector
-from .messages import Identity, Status, Sync
+from .messages import Identity, Status, Sync, Talk, name_of
 from .terms import MembersTerms, bounds
 from .view import View, Views
 
@@ -97,6 +97,7 @@
         self.syncing: set[asyncio.Task[None]] = set()
         self.serving = 0
         self.strangers, self.known = Budget(now), Budget(now)
+        self.topics: dict[str, Callable[[int, str, bytes], None]] = {}
         self.addresses: set[str] = set()
         self.bytes = {"in": 0, "out": 0}
         self.flooded = 0
@@ -157,12 +158,37 @@
             self.bytes["in"] += len(data)
             envelope = self.codec.read(data)
             self.detector.receive(now, envelope.to, envelope.count, envelope.me, envelope.body)
+            if isinstance(envelope.body, Talk) and envelope.to == self.detector.me.boot:
+                heard = self.topics.get(envelope.body.topic)
+                if heard is not None and envelope.me.id in self.detector.table:
+                    heard(now, name_of(envelope.me.id), envelope.body.body)
         except Refused:
             return
         except Exception as error:  # no datagram may raise out of a callback
             self.node.log("members", f"a datagram: {type(error).__name__}: {error}")
         self._flush(now)
 
+    def subscribe(self, topic: str, heard: Callable[[int, str, bytes], None]) -> None:
+        """``heard``: now, the name of the sender, what it says; it may raise on nonsense."""
+        self.topics[topic] = heard
+
+    def talk(self, topic: str, name: str, body: bytes) -> None:
+        """To a member by its name; what is too large for a datagram is a fault of the caller."""
+        address, _, boot = name.rpartition("/")
+        self.detector.out.append((Identity(address, bytes.fromhex(boot)), Talk(topic, body)))
+
+    def names(self) -> tuple[str, ...]:
+        """Of the members of the view, ourselves among them."""
+        return tuple(name_of(id) for id in self.views.view.members)
+
+    @property
+    def name(self) -> str:
+        return name_of(self.detector.me)
+
+    def flush(self) -> None:
+        """Send what `talk` was given."""
+        self._flush(self.node.clock.now())
+
     def error_received(self, exc: Exception) -> None:
         pass  # the network's word that nobody is there is no more than a lost datagram
 
--- a/larchhall/members/messages.py
+++ b/larchhall/members/messages.py
@@ -85,7 +85,19 @@
     claims: tuple[Claim, ...] = ()
 
 
-Message = Ping | PingReq | Ack | Nack | Sync
+class Talk(msgspec.Struct, array_like=True, frozen=True, tag=6):
+    """Of what rests on the membership: ``topic`` says for whom ``body`` is."""
+
+    topic: str
+    body: bytes
+
+
+Message = Ping | PingReq | Ack | Nack | Sync | Talk
+
+
+def name_of(id: Identity) -> str:
+    """One process, as others call it."""
+    return f"{id.address}/{id.boot.hex()}"
 
 
 class Envelope(msgspec.Struct, array_like=True, frozen=True):
--- a/larchhall/operators/node.py
+++ b/larchhall/operators/node.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from ..members.joins import Membership
     from ..members.view import View
+    from ..shares.joins import Judging, Sharing
     from ..start.joins import Starting
 
 LEARN = 1_000_000_000  # ns between two looks at the margin
@@ -38,6 +39,8 @@
         self.sized = config.settings.fleet_size, config.settings.me  # what the module goes by
         self.starting: Starting | None = None
         self.membership: Membership | None = None
+        self.sharing: Sharing | None = None
+        self.judging: Judging | None = None
         super().__init__(config, environ)
         self._set_terms(said)
         if said.start is not None:
@@ -54,6 +57,7 @@
             self.operations.calls.append(self.membership.call)
             self.broker.more_figures.append(self.membership.figures)
             self.broker.adjust.append(self.membership.adjust)
+            self._share(said, self.membership)
 
     # --- the start ---
 
@@ -87,6 +91,20 @@
 
     # --- the other brokers ---
 
+    def _share(self, said: Evaluated, membership: Membership) -> None:
+        if said.shares is None and said.verdicts is None:
+            return
+        from ..shares.joins import Judging, Sharing
+
+        if said.shares is not None:
+            self.sharing = Sharing(self, membership, said.shares)
+            self.operations.calls.append(self.sharing.call)
+            if self.broker.budget is not None and "further" in self.sharing.of_kind:
+                self.broker.budget.gate = self.sharing.may_try
+        if said.verdicts is not None:
+            self.judging = Judging(self, membership, said.verdicts)
+            self.operations.calls.append(self.judging.call)
+
     async def _open(self) -> None:
         if self.membership is not None:
             await self.membership.open()
@@ -125,6 +143,8 @@
             broker.budget = None
         elif broker.budget is None or broker.budget.terms != terms.further:
             broker.budget = Budget(terms.further)
+            if self.sharing is not None and "further" in self.sharing.of_kind:
+                broker.budget.gate = self.sharing.may_try
         self.log.sink, broker.story = None, None
         if said.logs is not None and said.logs.format != "plain":
             from ..lifecycle.structured import Lines, stories
@@ -172,6 +192,8 @@
         self.pending = None
         if self.membership is not None:
             self.membership.reload()
+        if self.sharing is not None:
+            self.sharing.configure()
 
     def _take(self, read: Config) -> None:
         super()._take(read)
--- a/larchhall/operators/script.py
+++ b/larchhall/operators/script.py
@@ -23,7 +23,9 @@
 from ..deadlines.further import Terms as FurtherTerms
 from ..deadlines.terms import Deadlines, Logs, MarginTerms
 from ..members.terms import MembersTerms
+from ..shares.terms import LimitTerms, SharesTerms
 from ..start.terms import StartTerms
+from ..verdicts.terms import VerdictTerms
 from .words import MOST_CALLS, WORDS, BadWord, Draft
 
 MOST_FILE = 4 << 20       # bytes of the file
@@ -46,6 +48,8 @@
     logs: Logs | None = None
     start: StartTerms | None = None
     members: MembersTerms | None = None
+    shares: SharesTerms | None = None
+    verdicts: VerdictTerms | None = None
 
 
 def evaluate(path: str) -> Evaluated:
@@ -71,7 +75,9 @@
                          None if said["deadlines"] is None else _deadlines(said["deadlines"]),
                          None if said["logs"] is None else Logs(**said["logs"]),
                          None if said["start"] is None else StartTerms(**said["start"]),
-                         None if said["members"] is None else _members(said["members"]))
+                         None if said["members"] is None else _members(said["members"]),
+                         None if said["shares"] is None else _shares(said["shares"]),
+                         None if said["verdicts"] is None else VerdictTerms(**said["verdicts"]))
     except (ValueError, KeyError, TypeError, BadMap) as error:
         raise OperatorFileError(f"{path}: evaluation: {error}") from None
 
@@ -80,6 +86,10 @@
     return MembersTerms(**{**raw, "seeds": tuple(raw["seeds"])})
 
 
+def _shares(raw: dict[str, Any]) -> SharesTerms:
+    return SharesTerms(**{**raw, "limits": tuple(LimitTerms(**limit) for limit in raw["limits"])})
+
+
 def _deadlines(raw: dict[str, Any]) -> Deadlines:
     further = raw["further"]
     if further is not None:
@@ -95,6 +105,7 @@
     draft = _run(path, text, stop, None)
     try:
         draft.finish()
+        draft.shared()
     except BadWord as error:
         _run(path, text, stop, (error.call or draft.calls, str(error)))
         raise OperatorFileError(f"{path}: {error}") from None
@@ -160,12 +171,14 @@
         if len(text) > MOST_FILE:
             raise OperatorFileError(f"{path}: file: is longer than {MOST_FILE} characters")
         draft = run(path, text, lambda: time.monotonic() > end)
-        map, deadlines = draft.finish(), draft.deadline_terms()
+        map, deadlines, shares = draft.finish(), draft.deadline_terms(), draft.shared()
         print(json.dumps({"map": None if map is None else map.plain(),
                           "deadlines": None if deadlines is None else asdict(deadlines),
                           "logs": None if draft.logs is None else asdict(draft.logs),
                           "start": None if draft.start is None else asdict(draft.start),
-                          "members": None if draft.members is None else asdict(draft.members)}))
+                          "members": None if draft.members is None else asdict(draft.members),
+                          "shares": None if shares is None else asdict(shares),
+                          "verdicts": None if draft.verdicts is None else asdict(draft.verdicts)}))
         return 0
     except OperatorFileError as error:
         print(error)
--- a/larchhall/operators/words.py
+++ b/larchhall/operators/words.py
@@ -15,7 +15,9 @@
 from ..deadlines.further import Terms as FurtherTerms
 from ..deadlines.terms import Deadlines, Logs, MarginTerms
 from ..members.terms import MembersTerms
+from ..shares.terms import KINDS, LimitTerms, SharesTerms
 from ..start.terms import StartTerms
+from ..verdicts.terms import VerdictTerms
 
 MOST_CALLS = 200_000
 MS = 1_000_000
@@ -47,6 +49,18 @@
     logs: Logs | None = None
     start: StartTerms | None = None
     members: MembersTerms | None = None
+    limits: dict[str, LimitTerms] = field(default_factory=dict)
+    shares: SharesTerms | None = None
+    verdicts: VerdictTerms | None = None
+
+    def shared(self) -> SharesTerms | None:
+        """The limits that are shared, and how; None: none. They rest on `members`, as verdicts do."""
+        for word, said in (("limit", self.limits), ("verdicts", self.verdicts)):
+            if said and self.members is None:
+                raise BadWord(f"{word}: needs members(...): brokers that don't know each other share nothing")
+        if not self.limits:
+            return None
+        return replace(self.shares or SharesTerms(), limits=tuple(self.limits.values()))
 
     def deadline_terms(self) -> Deadlines | None:
         """What is said of deadlines and of further attempts; None: nothing."""
@@ -305,7 +319,51 @@
         span(sync, "sync", 0.5), part, span(settle, "settle", 0), span(forget, "forget", 10))
 
 
+def limit(draft: Draft, name: Any, kind: Any = "tenant", rate: Any = 0) -> None:
+    """A limit that all brokers share; without a rate it is as the settings have it."""
+    name = _text(name, "limit.name")
+    _new(draft, "limit", name, draft.limits)
+    kind = _choice(kind, "limit.kind", KINDS)
+    if "/" in name or len(name) > 64:
+        raise BadWord(f"limit.name: {name!r:.70} must have 64 characters at the most, and no /")
+    if kind != "tenant" and any(li.kind == kind for li in draft.limits.values()):
+        raise BadWord(f"limit.kind: there is a limit of kind {kind} already")
+    rate = _number(rate, "limit.rate")
+    if kind in ("further", "connects") and not rate:
+        raise BadWord(f"limit.rate: is missing, the settings have none for {kind}")
+    if kind == "work" and rate:
+        raise BadWord("limit.rate: the engines say how much work there can be")
+    draft.limits[name] = LimitTerms(name, kind, rate)
+
+
+def limits(draft: Draft, lease: Any = 4, promise: Any = 6, drift: Any = 0.01, guaranteed: Any = 0.2,
+           told: Any = 1) -> None:
+    """How limits are shared; times in seconds."""
+    _single(draft, "limits")
+    if not 0 < (drift := _share(drift, "limits.drift")) < 0.5:
+        raise BadWord("limits.drift: must lie between 0 and 0.5")
+    if not 0 < (guaranteed := _share(guaranteed, "limits.guaranteed")):
+        raise BadWord("limits.guaranteed: must be above 0: without contact a broker has nothing else")
+    span = {k: int(_number(v, f"limits.{k}", 0.2) * 1000) * MS
+            for k, v in (("lease", lease), ("promise", promise), ("told", told))}
+    draft.shares = SharesTerms(span["lease"], span["promise"], drift, guaranteed, span["told"])
+
+
+def verdicts(draft: Draft, observers: Any = 3, failures: Any = 2, age: Any = 10, part: Any = 0.3,
+             hold: Any = 5, most_hold: Any = 60, told: Any = 0.5) -> None:
+    """What brokers see of engines, and operators say of them, is shared; times in seconds."""
+    _single(draft, "verdicts")
+    if (observers := _whole(observers, "verdicts.observers", 1)) < 2:
+        raise BadWord("verdicts.observers: must be at least 2: one that lies would hold out what it likes")
+    span = {k: int(_number(v, f"verdicts.{k}", above=True) * 1000) * MS
+            for k, v in (("age", age), ("hold", hold), ("most_hold", most_hold), ("told", told))}
+    draft.verdicts = VerdictTerms(
+        observers, _whole(failures, "verdicts.failures", 1), span["age"], _share(part, "verdicts.part"),
+        span["hold"], span["most_hold"], span["told"])
+
+
 WORDS: dict[str, Callable[..., Any]] = {
     "epoch": epoch, "cell": cell, "tenant": tenant, "default_cell": default_cell, "moves": moves,
     "deadlines": deadlines, "further_attempts": further_attempts, "further_class": further_class,
-    "logs": logs, "start": start, "members": members}
+    "logs": logs, "start": start, "members": members, "limit": limit, "limits": limits,
+    "verdicts": verdicts}
--- a/larchhall/shares/leases.py
+++ b/larchhall/shares/leases.py
@@ -24,6 +24,7 @@
 import hashlib
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from functools import lru_cache
 
 from .fair import water_level
 from .messages import Granted, HomeAsk, LeaseAsk, LeaseGrant, Promise, Want
@@ -34,11 +35,13 @@
 LEAST = 1e-9
 
 
+@lru_cache(MOST_LIMITS)
 def shard_of(limit: str) -> int:
     return hashlib.blake2b(limit.encode(), digest_size=2).digest()[0] % SHARDS
 
 
-def home_of(shard: int, members: Sequence[str]) -> str:
+@lru_cache(256)
+def home_of(shard: int, members: tuple[str, ...]) -> str:
     """Rendezvous: the same for all that hold the same view; one that goes moves its own shards alone."""
     def draw(member: str) -> bytes:
         return hashlib.blake2b(f"{shard}/{member}".encode(), digest_size=8).digest()
@@ -97,6 +100,7 @@
         self.terms_seen: dict[int, int] = {}    # shard: the highest
         self.confirmed: dict[int, int] = {}     # shard: the term in which its home is held
         self.want: dict[str, float] = {}
+        self.spare: set[str] = set()  # limits of which we take what others leave, also without need
         self.asking: dict[str, tuple[int, int]] = {}  # limit: seq of the last ask, when
         self.seq = 0
         self.grant = 1 + int(draw() * (1 << 40))  # danger: another home's number would pass for one of ours
@@ -220,7 +224,7 @@
             entry = book.setdefault(holder, Entry())
             if ask.seq <= entry.seq:
                 continue  # an older ask that was late: what it says of its holder is no more so
-            entry.seq, entry.want, entry.wanted = ask.seq, max(0.0, want.want), now
+            entry.seq, entry.want, entry.wanted = ask.seq, want.want, now
             amount = self._amount(now, home, book, holder, want, whole)
             if amount is None:
                 continue
@@ -243,10 +247,14 @@
             if want.term != home.term:
                 return None if want.held > 0 else 0.0
             shown = max(want.held, mine.out(now)) if want.grant else mine.out(now)
-            return min(want.want, shown, max(0.0, whole - others)) if shown > 0 else 0.0
+            return max(0.0, min(max(want.want, shown if want.want >= 0 else 0.0), shown, whole - others))
         fresh = {h: min(e.want, self.caps.get((want.limit, h), e.want)) for h, e in book.items()
                  if now - e.wanted < self.terms.lease}
-        level = water_level(fresh, whole).get(holder, 0.0)
+        levels = water_level({h: max(0.0, w) for h, w in fresh.items()}, whole)
+        level = levels.get(holder, 0.0)
+        if want.want >= 0 and (want.limit, holder) not in self.caps:
+            # What nobody needs now, evenly: traffic that jumps meets something until the next ask.
+            level += (whole - sum(levels.values())) / max(len(self.members), len(levels))
         amount = min(level, whole - others)
         if amount < level - LEAST:
             self.figures["refused"] += 1
@@ -273,12 +281,13 @@
             shard, lease = shard_of(limit), self.held.get(limit)
             live = lease is not None and now < lease.until
             want = self.want.get(limit, 0.0)
-            if not live and want <= 0:
+            idle = want <= 0 and limit not in self.spare
+            if not live and idle:
                 continue
             held, number = (lease.amount, lease.grant) if live and lease is not None else (0.0, 0)
-            if want <= 0 and lease is not None:
+            if idle and lease is not None:
                 lease.until = now  # it is given back: from this moment it is not used
-                held, number = 0.0, 0
+                want, held, number = -1.0, 0.0, 0
             by_home.setdefault(home, []).append(
                 Want(limit, want, held, number, self.confirmed.get(shard, -1)))
         for home, wants in by_home.items():
@@ -312,6 +321,10 @@
             case LeaseGrant():
                 self._take(now, sender, message)
 
+    def hurry(self, now: int) -> None:
+        """More is needed than we hold."""
+        self.ask_at = min(self.ask_at, now)
+
     def tick(self, now: int) -> None:
         self._rule(now)
         if now >= self.home_at:
--- a/larchhall/standins/fleet.py
+++ b/larchhall/standins/fleet.py
@@ -89,9 +89,8 @@
         finally:
             line.close()
 
-    def status(self, path: str = "/start") -> dict[str, Any]:
-        said: dict[str, Any] = json.loads(self.call(path)[1])
-        return said
+    def status(self, path: str = "/start") -> Any:
+        return json.loads(self.call(path)[1])
 
     async def ready(self) -> bool:
         """As the front asks: type 16 on the clients' address."""
--- a/larchhall/standins/shareworld.py
+++ b/larchhall/standins/shareworld.py
@@ -51,6 +51,7 @@
         self.used: dict[str, float] = dict.fromkeys(limits, 0.0)  # lease-seconds that were wanted and valid
         self.messages = 0
         self.count = count
+        self.look = self.LOOK * max(1, count // 50)
         for number in range(count):
             self._make(number)
         self._views()
@@ -161,8 +162,61 @@
         for limit, whole in self.limits.items():
             valid = self.valid(limit)
             self.worst[limit] = max(self.worst[limit], valid - whole * (1 - self.terms.guaranteed))
-            self.used[limit] += self.LOOK / S * sum(
+            self.used[limit] += self.look / S * sum(
                 min(b.leases.want.get(limit, 0.0), b.leases.amount(limit, b.clock(self.now)))
                 for b in self.brokers if b.up)
             self.home(limit)
-        self.at(self.now + self.LOOK, self._audit)
+        self.at(self.now + self.look, self._audit)
+
+
+def trouble(world: ShareWorld, seed: int, seconds: float) -> None:
+    """Faults drawn from a seed, and demand that jumps: ends and pauses of homes and of any, restarts,
+    cuts."""
+    draw, begun, count = random.Random(seed * 7 + 1), world.now, world.count
+    cuts: list[tuple[int, int, frozenset[int], bool]] = []
+    names = list(world.limits)
+
+    def cut(now: int, a: int, b: int) -> bool:
+        return any(start <= now < end and ((a in side) > (b in side) or both and (b in side) > (a in side))
+                   for start, end, side, both in cuts)
+
+    def at_home(does: Callable[[int], None]) -> None:
+        if (home := world.home(names[0])) is not None:
+            does(home.number)
+
+    def demand() -> None:
+        for broker in world.brokers:
+            broker.leases.want = {n: draw.choice([0.0, 1.0, 10.0, 100.0, 300.0]) for n in names}
+        world.at(world.now + 2 * S, demand)
+
+    world.cut = cut
+    for _ in range(draw.randrange(4, 12)):
+        when, who, span = begun + int(draw.random() * seconds * S), draw.randrange(count), draw.uniform(1, 15)
+        match draw.randrange(6):
+            case 0:
+                world.at(when, partial(at_home, lambda n: world.kill([n])))
+            case 1:
+                world.at(when, partial(at_home, partial(world.pause, seconds=span)))
+            case 2:
+                world.at(when, partial(world.pause, who, span))
+            case 3 | 4 as kind:
+                side = frozenset(draw.sample(range(count), draw.randrange(1, count)))
+                cuts.append((when, when + int(span * S), side, kind == 4))
+            case 5:
+                world.at(when, partial(world.restart, who))
+    world.at(world.now, demand)
+
+
+def audit(records: Iterable[Iterable[tuple[int, str, float, int]]], limit: str) -> float:
+    """The most that leases of a limit, written down by real processes on one machine's clock, added up to at
+    any moment. Of each process: when a lease changed, the limit, the amount, and until when it was to be
+    used."""
+    steps: list[tuple[int, float]] = []
+    for record in records:
+        mine = sorted({(at, amount, until) for at, name, amount, until in record if name == limit})
+        for (at, amount, until), after in zip(mine, [*mine[1:], None], strict=True):
+            end = until if after is None else min(until, after[0])
+            if end > at and amount > 0:
+                steps += [(at, amount), (end, -amount)]
+    steps.sort(key=lambda step: (step[0], step[1]))  # what ends at a moment has ended before what begins
+    return max(itertools.accumulate((change for _, change in steps), initial=0.0))
--- a/larchhall/start/joins.py
+++ b/larchhall/start/joins.py
@@ -93,7 +93,7 @@
         if node.config.known:
             self.start.list_told(now, Source.KNOWN, 0)
         self._ask_contact(now)
-        node.broker.witness = self._witness
+        node.broker.witness.append(self._witness)
         node.broker.more_figures.append(self.figures)
         node.broker.pools.turn = self._connect_wait
         self.gate = Gate(terms.accepts, now)
