A late page of an earlier request under the same id is no part of the next one's result

A client whose time is up asks again at once under its id (retry_wait_ms 0.38). The first request's attempt had been answered with page 0 and asked for page 1; at its end `forget` took it out of EngineConnection.open, and the rule that nothing else under an id uses a connection that carried it went by the request (`carriers`), not by the id: pools.py:51 gave the second request the same, idle connection. The first one's page 1, still on its way, was put behind the second one's page 0.

Change: a connection knows the last 64 ids that it carried, and gets none of them again. A result of several pages is an error, not an answer, while the same id is open at that engine on another connection: its pages may be either's. One look-up in place of two on the ordinary path.

--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -601,6 +601,11 @@
         if not attempt.wanted():  # it was half gone when this came: the rest had to follow
             self.tally.begun_after[Stop.LEFT if attempt.request.left else Stop.PAST] += 1
 
+    def twice(self, connection: EngineConnection, trace: bytes) -> bool:
+        pool = self.pools.get(connection.engine)
+        return pool is not None and any(trace in c.open or trace in c.undone
+                                        for c in pool.connections if c is not connection)
+
     def whole(self, attempt: Attempt, meter: str) -> None:
         """Every page is here: the answer goes out as one frame, if somebody still waits for it."""
         request = attempt.request
--- a/larchhall/state/pools.py
+++ b/larchhall/state/pools.py
@@ -42,13 +42,13 @@
     def send(self, attempt: Attempt, now: int) -> None:
         """Danger: a spoilt answer or a reset ends its connection with all that is open there; so each attempt
         gets one of its own while this engine's part of the descriptors lasts, where handshakes are cheap.
-        Answers come under the request's id, also twice: no other attempt of it uses a connection that
-        carried one."""
+        Answers come under the request's id, also twice, and pages late: nothing else under this id, of this
+        request or of one that comes again, uses a connection that carried it."""
         request = attempt.request
         best, least, stuck, full = None, self.pools.streams, None, False
         for c in self._usable(now):  # on every request's path: one pass, nothing built
             open = len(c.open) + len(c.undone) if c.undone else len(c.open)
-            if open >= self.pools.streams or request.trace in c.open or c in request.carriers:
+            if open >= self.pools.streams or request.trace in c.carried:
                 continue
             if c.jammed:
                 # Backpressure: a connection whose socket takes no more gets nothing while there is another.
@@ -87,8 +87,7 @@
 
     def _put(self, connection: EngineConnection, attempt: Attempt, now: int) -> None:
         attempt.connection, attempt.put = connection, now
-        attempt.request.carriers.append(connection)
-        connection.open[attempt.request.trace] = attempt
+        connection.carry(attempt)
         connection.do(attempt, now)
 
     def _open(self) -> None:
--- a/larchhall/state/requests.py
+++ b/larchhall/state/requests.py
@@ -53,7 +53,6 @@
     reserve: int = 0
     nonce: str | None = None
     attempts: dict[int, Attempt] = field(default_factory=dict)  # those that have not been reported as ended
-    carriers: list[Carrier] = field(default_factory=list)  # that have carried an attempt of it
 
     def scope(self) -> Scope:
         """All that is under way for it. Made when it is to be ended: most requests end by themselves."""
--- a/larchhall/wire/engine.py
+++ b/larchhall/wire/engine.py
@@ -20,6 +20,7 @@
 NOTSENT_LOWAT = getattr(socket, "TCP_NOTSENT_LOWAT", 25)
 UNSENT = 16_384        # bytes that may lie unsent in the system's buffer
 MOST_RESULT = 48_000   # bytes
+CARRIED = 64           # ids that a connection knows to have carried
 PART = 500 * MS        # ns in which an answer that has begun must be whole
 ROWS = re.compile(rb"(?:[^\t\n\0]*\t[^\t\n\0]*\t[^\t\n\0]*\n)*")  # three text columns and a line end each
 WORDS = {b"overload": Result.FULL, b"crashed": Result.ERROR, b"nobody": Result.NOT_SENT}
@@ -59,6 +60,9 @@
     def undone(self, outcome: Outcome, count: int) -> None:
         """What became of attempts that were undone."""
 
+    def twice(self, connection: EngineConnection, trace: bytes) -> bool:
+        """The same id is open at the same engine on another connection too."""
+
 
 class EngineConnection(asyncio.Protocol):
     """Attempts stay in ``open`` until the engine answered them, also those that nobody waits for: they hold
@@ -69,6 +73,7 @@
         self.transport: asyncio.Transport | None = None
         self.parser = resp.RespParser()
         self.open: dict[bytes, Attempt] = {}
+        self.carried: dict[bytes, None] = {}  # ids under which something may still come, the newest last
         self.probes: set[bytes] = set()
         self.heard = self.used = self.begun = owner.now()
         self.retired = False  # takes no further sends
@@ -131,6 +136,16 @@
 
     # --- from the broker ---
 
+    def carry(self, attempt: Attempt) -> None:
+        trace = attempt.request.trace
+        self.open[trace] = attempt
+        self.carried[trace] = None
+        if len(self.carried) > CARRIED:  # the oldest; one that is still open there stays
+            old = next(iter(self.carried))
+            del self.carried[old]
+            if old in self.open:
+                self.carried[old] = None
+
     def do(self, attempt: Attempt, now: int) -> None:
         request, pieces = attempt.request, self._pieces(attempt, now)
         if len(pieces) == 1 and self.fd >= 0 and not self.jammed and self.transport is not None \
@@ -330,6 +345,8 @@
         if attempt.missing == 0:
             del self.open[tag]
             self.owner.whole(attempt, meter)
+        elif self.owner.twice(self, tag):
+            self._mixed(tag, attempt, meter)
         else:
             for n in range(1, chunks):
                 self._write(self.heard, b"page", tag, b"%d" % n)
@@ -351,10 +368,18 @@
         if sum(len(page) for page in attempt.pages if page is not None) > MOST_RESULT:
             raise resp.BadAnswer("a result larger than an answer can hold")
         if attempt.missing == 0:
+            if self.owner.twice(self, tag):
+                return self._mixed(tag, attempt, meter)
             del self.open[tag]
             self._write(self.heard, b"forget", tag)
             self.owner.whole(attempt, meter)
 
+    def _mixed(self, tag: bytes, attempt: Attempt, meter: str) -> None:
+        """Danger: the engine runs another query under this id: a page that it gives may be of either."""
+        self._write(self.heard, b"forget", tag)
+        attempt.pages = []
+        self._over(tag, attempt, Result.ERROR, meter)
+
 
 def _check_rows(page: bytes) -> None:
     """Danger: noise in a good frame would be served as a result."""
