Pages of two copies at one engine are never one answer, also when one was just answered

The engine knows pages by the id alone: pages 1 to 4 that the first one asked for were the second's (the last was full, 5942 bytes), and went out behind its own page 0.

Open: the module sends a copy to the engine that runs the first one where all others are excluded (brain.py `_further`, `able`).

--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -603,8 +603,7 @@
 
     def twice(self, connection: EngineConnection, trace: bytes) -> bool:
         pool = self.pools.get(connection.engine)
-        return pool is not None and any(trace in c.open or trace in c.undone
-                                        for c in pool.connections if c is not connection)
+        return pool is not None and any(trace in c.carried for c in pool.connections if c is not connection)
 
     def whole(self, attempt: Attempt, meter: str) -> None:
         """Every page is here: the answer goes out as one frame, if somebody still waits for it."""
--- a/larchhall/wire/engine.py
+++ b/larchhall/wire/engine.py
@@ -61,7 +61,7 @@
         """What became of attempts that were undone."""
 
     def twice(self, connection: EngineConnection, trace: bytes) -> bool:
-        """The same id is open at the same engine on another connection too."""
+        """The same id went to the same engine on another connection too, of late."""
 
 
 class EngineConnection(asyncio.Protocol):
@@ -375,7 +375,8 @@
             self.owner.whole(attempt, meter)
 
     def _mixed(self, tag: bytes, attempt: Attempt, meter: str) -> None:
-        """Danger: the engine runs another query under this id: a page that it gives may be of either."""
+        """Danger: the engine runs, or has run, another query under this id, and knows pages by the id alone:
+        those that it gives may be of either, also when the other one has just been answered."""
         self._write(self.heard, b"forget", tag)
         attempt.pages = []
         self._over(tag, attempt, Result.ERROR, meter)
