--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -31,7 +31,7 @@
 from larchhall.standins.fleet import Fleet, free_ports
 from larchhall.standins.links import Fault, Kind, RelayNet, Script
 from larchhall.standins.memberworld import BEGIN, MemberWorld
-from larchhall.standins.world import World, config, settings
+from larchhall.standins.world import World, config, settings, tenants
 
 from .cells import _ask_many
 from .harness import ROOT, Daemon, Figures, worktree
@@ -251,9 +251,10 @@
 # --- the ordinary path ---
 
 
-async def costs(figures: Figures, rounds: int, count: int) -> None:
-    """Processor time of a request: the program before, this one without the word, with it among 24
-    members."""
+async def costs(figures: Figures, rounds: int, count: int, what: str = "members", words: str = "",
+                most_on: float = 1.05) -> None:
+    """Processor time of a request: the program before, this one without the words, with them among 24
+    members. ``words``: beside `members`."""
     world = World()
     await world.start("s-1", "s-2", "s-3")
     limits = {**settings()["policy_limits"], "peer_messages": True}
@@ -265,9 +266,10 @@
 
         def word(number: int) -> str:
             return (f'members(address = "127.0.0.1:{ports[number]}", key_file = "{keys}", '
-                    f'installation = "b", seeds = ["127.0.0.1:{ports[0]}"])')
+                    f'installation = "b", seeds = ["127.0.0.1:{ports[0]}"])' + words)
 
-        more: dict[str, Any] = {"fleet_size": 24, "policy_limits": limits}
+        more: dict[str, Any] = {"fleet_size": 24, "policy_limits": limits,
+                                "tenants": tenants("t0", "t1", "t2", "t3")}
         running = {"before": await Daemon(before, world, **more).start(),
                    "off": await Daemon(ROOT, world, **more).start(),
                    "on": await Daemon(ROOT, world, word(0), **more).start()}
@@ -280,16 +282,16 @@
                 cost = await _ask_many(running[name], count)
                 if turn:
                     spent[name].append(cost)
-        for name, most in (("off", 1.03), ("on", 1.05)):
+        for name, most in (("off", 1.03), ("on", most_on)):
             ratios = [a / b for a, b in zip(spent[name], spent["before"], strict=True)]
-            figures.tell(f"costs.{name}_against_before", statistics.median(ratios), most=most)
-            figures.tell(f"costs.{name}_against_before_least", min(ratios))
-            figures.tell(f"costs.{name}_against_before_greatest", max(ratios))
+            figures.tell(f"costs.{what}_{name}_against_before", statistics.median(ratios), most=most)
+            figures.tell(f"costs.{what}_{name}_against_before_least", min(ratios))
+            figures.tell(f"costs.{what}_{name}_against_before_greatest", max(ratios))
         for name, daemon in running.items():
-            figures.tell(f"costs.{name}_memory_mb", daemon.memory_mb())
+            figures.tell(f"costs.{what}_{name}_memory_mb", daemon.memory_mb())
         used = running["on"].used()
         await asyncio.sleep(5)
-        figures.tell("costs.idle_ms_of_processor_a_second_with_24_members",
+        figures.tell(f"costs.{what}_idle_ms_of_processor_a_second_with_24_members",
                      (running["on"].used() - used) / 5e6, most=20.0)
         for daemon in [*running.values(), *peers]:
             daemon.stop()
--- a/larchhall/standins/simulated.py
+++ b/larchhall/standins/simulated.py
@@ -108,6 +108,7 @@
         self.work: dict[str, tuple[float, int]] = {}
         self.pauses: list[tuple[int, int]] = []
         self.up = True
+        self.outcome: Callable[[int, Result], None] | None = None  # hears what becomes of attempts
         self._tick()
 
     def _tick(self) -> None:
@@ -174,6 +175,8 @@
             if served:
                 came, cls, answered, _ = self.asked[send.request]
                 self.asked[send.request] = (came, cls, answered or self.sim.now, not answered)
+            if self.outcome is not None:
+                self.outcome(send.engine, result)
             load = engine.load() if result in (Result.SERVED, Result.FULL) else None
             self.report(Ended(send.request, send.attempt, send.engine, result, self.sim.now - sent, served,
                               load))
