SIGHUP on an unconfirmed last list has its test: unsafe work stays refused

Played on a process: without `_adjusted` in Broker.retune the load is sent; with it, refused until the bus has confirmed the list.

--- a/tests/test_start_processes.py
+++ b/tests/test_start_processes.py
@@ -147,13 +147,15 @@
     more = f', last_list = "{kept}", installation = "here"'
     raw["settings"] = {**raw["settings"], "classes": deployments.COUNTERS["classes"]}
     await leave_a_list(raw, more)
-    script = Script([Fault(0.0, 3.0, "bus", Kind.REFUSE)], time.monotonic)
+    script = Script([Fault(0.0, 5.0, "bus", Kind.REFUSE)], time.monotonic)
     link = Link("bus", "127.0.0.1", world.bus_port, script)
     with fleet(1, {**raw, "bus": f"127.0.0.1:{await link.start()}"}, more) as brokers:
         member = brokers.members[0]
         brokers.start()
         said = await status(member, ready)
         assert said["list"] == "disk" and not said["confirmed"] and said["listed"] == 2
+        member.signal(signal.SIGHUP)  # danger: the settings as they are in the file would let unsafe work go
+        await until(lambda: "reload: done" in member.log())
         book = Book("127.0.0.1", member.port)
         safe, unsafe = [await book.ask("", route, 2, 4_000 * MS) for route in ("lookup", "load")]
         await book.settle(HANG)
