An engine that drains keeps no longer every other one shut out where all are held to be out

Cause: `_healthy` tries all engines where all are held to be out, but counted every engine of the books that is not banned (brain.py, `all(e.suspect for n, e in self.engines.items() if n not in self.banned)`). One that drains in good health takes nothing, and made the sum false for as long as it stayed in the list. Ruled out: bounds (fits 4 of 4), cold budgets. Change: the open engines count.

--- a/larchhall/brain.py
+++ b/larchhall/brain.py
@@ -412,12 +412,12 @@
         return self.contract.cold_from + (1 - self.contract.cold_from) * max(0.0, past) ** 2
 
     def _healthy(self, now: int, request: Request, engine: Engine) -> bool:
-        """An engine held to be out gets one safe trial at a time, unless every engine is held to be out.
+        """An engine held to be out gets one safe trial at a time, unless every open engine is held to be out.
         Danger: a full engine where we have nothing out admits, turns away and is asked again without end."""
         self._watch_silence(now, engine)
         if engine.backlog == 0 and now < engine.full_until:
             return now >= engine.next_trial
-        if not engine.suspect or all(e.suspect for n, e in self.engines.items() if n not in self.banned):
+        if not engine.suspect or all(e.suspect for e in self.engines.values() if self._open(e)):
             return True
         return (now >= engine.next_trial and request.spec.effect is Effect.SAFE and not self.by_probe
                 and not any(a.trial for a in engine.out.values()))
