A keyed repeat that waited leaves within its window or not at all

Cause: the window was looked at when the repeat was decided on (brain.py, `_effect_allows`); behind a slow connect or a full socket its first byte could leave later, past the time in which engines know the key. The gates of the broker (`_may_go`) knew the patience alone. Change: `Send.latest`, the module's word on when the first byte must have left; the gates hold to it, and what they stop was never sent.

--- a/larchhall/brain.py
+++ b/larchhall/brain.py
@@ -193,14 +193,12 @@
     """One gateway's decisions: `handle` takes an event at the caller's time and returns actions."""
 
     def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
-        self.random = random.Random(seed)
         self.views, self.shares = dict[str, ClassView](), dict[str, TokenBucket]()
         self.engines, self.banned = dict[int, Engine](), set[int]()
         self.taking, self.mean_worth, self.mean_work = 1, 1e-9, 1.0  # processes that take requests; means
         self.pool = Pool(held=FadingMean(MEMORY, now), wanted=POOL_WANTED)
         self.near, self.cold = list[Engine](), list[Engine]()  # that we use; that we use in our turns
-        self.owners = 1  # gateways to a turn on a cold engine
-        self.thin = self.by_probe = False  # our share of an engine is under one query; trials are probes
+        self.owners, self.thin, self.by_probe = 1, False, False  # to a cold engine's turn; `_measure_pool`
         self.requests, self.queues = dict[str, Request](), dict[str, deque[Request]]()
         self.key_free_at, self.serving = dict[str, int](), set[str]()
         self.held_sets: Counter[tuple[int, int]] = Counter()  # (engine, data set): our loads there
@@ -209,7 +207,7 @@
         self.taken, self.further = (SlidingSum(settings.contract.budget_window) for _ in range(2))
         self.period_arrivals, self.period_refusals, self.refused_share = 0, 0, 0.0
         self.timers: dict[int, tuple[Callable[..., None], tuple[Any, ...]]] = {}
-        self.next_token, self.period_due, self.stalled = 0, now + PERIOD, -1
+        self.random, self.next_token, self.period_due, self.stalled = random.Random(seed), 0, now + PERIOD, -1
         self._retune(now, api.Retuned(settings))
         self.actions: list[api.Action] = []
         self.handlers: dict[type, Callable[[int, Any], None]] = {
@@ -436,7 +434,9 @@
             run = request.run_time()  # short work first: 3 below the shortest aim, 0 what is beyond a share
             rank = 0 if request.over_share else 1 + (run < self.shortest_aim) + (run < self.longest_aim)
             self.actions.append(api.Terms(request.id, rank, GRANT_MARGIN * request.memory_mb))
-        self.actions.append(api.Send(request.id, engine.entry.engine, request.deadline - now))
+        keyed = request.may_have_run and request.spec.effect is Effect.KEYED  # rule 2 counts what leaves
+        latest = request.may_have_run[0].sent + request.spec.window if keyed else request.deadline
+        self.actions.append(api.Send(request.id, engine.entry.engine, request.deadline - now, latest))
         request.sends += 1
         request.tried.append(engine.entry.engine)
         request.out[attempt.number] = attempt
--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -446,9 +446,9 @@
         request = self.requests.get(order.request)
         if request is None:
             return
-        attempt = Attempt(request, order.attempt, order.engine, now, now + order.timeout)
+        attempt = Attempt(request, order.attempt, order.engine, now, now + order.timeout, order.latest)
         request.attempts[attempt.number] = attempt
-        if self.closing:
+        if self.closing or request.given_up:
             self._end_soon(attempt, Result.NOT_SENT)
             return
         if self.budget is not None and not self._in_budget(self.budget, request, attempt):
@@ -485,7 +485,8 @@
         known = self.engines.by_number.get(attempt.engine)
         drained = known is None or known.target.state is not EngineState.READY
         why = stop(now, Passing(
-            attempt.request.client is not None, min(attempt.until, attempt.request.deadline),
+            attempt.request.client is not None,
+            min(attempt.until, attempt.request.deadline, attempt.latest),
             0 if self.stages is None else self.stages.fastest(
                 attempt.request.route.decode(), now, *AHEAD[hand]),
             known is not None and bool(self.bans.words) and self.bans.out(known.target.uid),
--- a/larchhall/facade.py
+++ b/larchhall/facade.py
@@ -122,6 +122,7 @@
     attempt: int
     engine: int
     timeout: int
+    latest: int  # when its first byte must have left
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,10 +216,10 @@
             match action:
                 case api.SetTimer(at, token):
                     self.wheel.at(at, self._fired(token))
-                case api.Send(request, engine, timeout):
+                case api.Send(request, engine, timeout, latest):
                     number = self.sends.get(request, 0)
                     self.sends[request] = number + 1
-                    orders.sends.append(SendOrder(request, number, engine, timeout))
+                    orders.sends.append(SendOrder(request, number, engine, timeout, latest))
                 case api.Terms(request, priority, memory_mb):
                     orders.terms.append((request, priority, memory_mb))
                 case api.Refuse(request, retry_after):
--- a/larchhall/interface.py
+++ b/larchhall/interface.py
@@ -299,11 +299,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start an attempt; attempts of a request are numbered from 0 in the order of their sends."""
+    """Start an attempt; attempts of a request are numbered from 0 in the order of their sends. ``latest``:
+    when its first byte must have left; past that it may not run any more, and is reported as not sent."""
 
     request: str
     engine: int
     timeout: int
+    latest: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/larchhall/state/requests.py
+++ b/larchhall/state/requests.py
@@ -49,6 +49,7 @@
     came: int = 0          # when its first byte was read
     taken: int = 0
     left: bool = False     # its client has gone before its answer
+    given_up: bool = False  # it gets its final answer now: nothing more is sent for it
     level: int | None = None
     reserve: int = 0
     nonce: str | None = None
@@ -72,6 +73,7 @@
     engine: int
     sent: int
     until: int             # how long the broker waits for it
+    latest: int            # when its first byte must have left
     timer: Timer | None = None
     connection: Carrier | None = None
     paid: bool = False     # out of the budget for further attempts
--- a/tests/test_deadlines_pure.py
+++ b/tests/test_deadlines_pure.py
@@ -320,7 +320,7 @@
     tell = stories(log, lines, lambda: 2 * S)
     for i, deadline in enumerate((3 * S, S)):
         request = OpenRequest(f"{i}", b"%016x" % i, b"lookup", b"", None, 1, deadline, "acme", S, S + MS)
-        attempt = Attempt(request, 0, 7, S + 2 * MS, deadline, put=S + 2 * MS, gone=S + 3 * MS)
+        attempt = Attempt(request, 0, 7, S + 2 * MS, deadline, deadline, put=S + 2 * MS, gone=S + 3 * MS)
         request.attempts[0] = attempt
         tell(request, "success")
     for _ in range(30):
--- a/tests/test_sockets_engine.py
+++ b/tests/test_sockets_engine.py
@@ -151,7 +151,8 @@
         for trace, same in ((b"9" * 16, True), (TRACE.encode(), False)):
             end = broker.now() + 9_000 * MS
             request = OpenRequest("9", trace, b"lookup", STATEMENT, Waiter(), 1, end)
-            attempt = Attempt(request, 1, pool.number, broker.now(), request.deadline)
+            attempt = Attempt(request, 1, pool.number, broker.now(), request.deadline,
+                              request.deadline)
             pool.send(attempt, broker.now())
             await until(lambda: attempt.reported)  # noqa: B023
             assert (attempt.connection is first) == same
