At the end nothing read after the shutdown is sent on, and no answer is reset

Cause, by reading: `Drain._look` called `Node.stop` and the process closed its clients' sockets as it ended. Until then whatever a connection read was taken as a request, with the pools already closed; and a close over unread bytes resets the connection, with answers that the client has not read. `ClientConnection._break` let go of requests that had been taken before the broken frame: no answer at all. Change: our side of every client ends first (after what was written), what still comes is read off and thrown away until the client ends its side, 0.1 s at the most; nothing is sent on meanwhile.

--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -11,7 +11,7 @@
 import math
 import re
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, replace
 from functools import partial
 from typing import TYPE_CHECKING
@@ -393,15 +393,27 @@
         self.engines.let_go()
 
     def close_out_all(self) -> None:
-        """The process is about to end: what is open gets the answer that the rules allow. Danger: what has
-        not left would be answered as if it may have run: it is taken back first, and goes nowhere else."""
+        """The process is about to end: what is open gets the answer that the rules allow."""
         self.closing = True
-        for attempt in [a for r in self.requests.values() for a in r.attempts.values()]:
+        self._take_back_unsent(self.requests.values())
+        self._report(Closing())
+
+    def give_up(self, requests: Sequence[OpenRequest]) -> None:
+        """The same for these alone: their client can't be read any more."""
+        if requests:
+            for request in requests:
+                request.given_up = True
+            self._take_back_unsent(requests)
+            self._report(Closing(frozenset(request.id for request in requests)))
+
+    def _take_back_unsent(self, requests: Iterable[OpenRequest]) -> None:
+        """Danger: what has not left would be answered as if it may have run: it is taken back before its
+        answer, and goes nowhere else."""
+        for attempt in [a for r in requests for a in r.attempts.values()]:
             connection = attempt.connection
             if not attempt.written and (connection is None or connection.take_back(attempt)):
                 self._end(attempt, Result.NOT_SENT, None)
         self._end_later()
-        self._report(Closing())
 
     # --- orders ---
 
--- a/larchhall/lifecycle/drain.py
+++ b/larchhall/lifecycle/drain.py
@@ -14,6 +14,7 @@
 KILL = 0.7           # s that a SIGKILL comes after that, at the soonest
 MARGIN = 0.4         # s before the SIGKILL: everything open is closed out
 FLUSH = 0.25         # s in which the last answers may leave
+READ_OFF = 0.1       # s in which the clients end their side once we have ended ours
 LOOK = 0.01          # s between looks whether all is done
 S = 1_000_000_000
 
@@ -23,6 +24,7 @@
         self.node = node
         self.begun_at = 0
         self.closed_out = False
+        self.shut_at = 0  # since when nothing that is read is sent on
 
     @property
     def last(self) -> float:
@@ -63,7 +65,7 @@
         passed = (self.node.clock.now() - self.begun_at) / S
         # Danger: a request of which a part is here would be cut off with the connection.
         if (self.node.idle() and not self.node.partial) or passed > self.last + FLUSH:
-            self.node.stop()
+            self._shut()
             return
         if passed >= self.last and not self.closed_out:
             # Danger: SIGKILL would take what is open with it; a final answer now is better than none.
@@ -71,3 +73,19 @@
             self.node.log("stop", f"closing out {len(self.node.broker.requests)} requests")
             self.node.broker.close_out_all()
         self.loop.call_later(LOOK, self._look)
+
+    def _shut(self) -> None:
+        """Danger: a request that is read now and sent on would be lost with the process, and a close over
+        unread bytes takes with it what the client has not read yet: our side ends first, theirs is read
+        off."""
+        self.shut_at = self.node.clock.now()
+        self.node.broker.closing = True
+        for client in list(self.node.clients):
+            client.shut()
+        self._end()
+
+    def _end(self) -> None:
+        if self.node.clients and self.node.clock.now() - self.shut_at < READ_OFF * S:
+            self.loop.call_later(LOOK, self._end)
+        else:
+            self.node.stop()
--- a/larchhall/wire/client.py
+++ b/larchhall/wire/client.py
@@ -70,7 +70,8 @@
         self.parser = frames.FrameParser()
         self.open: dict[int, OpenRequest | None] = {}  # None while the broker is being asked
         self.last_stream = 0
-        self.broken = False   # nothing more is read or written; it is about to end
+        self.broken = False   # nothing more is read; it is about to end
+        self.ended = False    # our side has ended: nothing more is written
         self.spoken = False   # a whole frame has come
         self.used = self.begun = self.first = front.broker.now()  # first: when the present frame began
         self.discarded = 0
@@ -239,18 +240,28 @@
             self.open[stream] = request
 
     def _break(self, why: str) -> None:
-        """An error that belongs to no request; nothing more on this connection can be read. Danger: to close
-        with bytes unread resets the connection, and that can destroy the error on its way: only our side is
-        ended, and the other read on within bounds."""
+        """An error that belongs to no request; nothing more on this connection can be read. What was taken
+        before it gets its answer first."""
         self.front.broker.log("client", f"broken connection: {why}")
+        self.broken = True
+        for stream in [stream for stream, request in self.open.items() if request is None]:
+            self.failed(stream, why)  # a fault while the broker was being asked
+        self.front.broker.give_up([r for r in self.open.values() if r is not None])
         self._write(frames.answer(0, frames.FAILED, {}, why.encode()))
+        self.shut()
+
+    def shut(self) -> None:
+        """Nothing that comes from now on is read as a request. Danger: to close with bytes unread resets the
+        connection, and that can destroy what was written last: only our side is ended, after all of that,
+        and the other read on within bounds."""
         self.broken = True
         self.parser.clear()
         self._count_partial()
         self._abandon_all()
         if self.timer is not None:
             self.timer.cancel()
-        if self.transport is not None and not self.transport.is_closing():
+        if self.transport is not None and not self.ended and not self.transport.is_closing():
+            self.ended = True
             self.transport.write_eof()
             self.timer = self.front.broker.wheel.at(self.front.broker.now() + LINGER, self.drop)
 
@@ -260,7 +271,7 @@
             self.front.broker.leave(request)
 
     def _write(self, data: bytes) -> None:
-        if self.transport is not None and not self.broken and not self.transport.is_closing():
+        if self.transport is not None and not self.ended and not self.transport.is_closing():
             self.transport.write(data)
 
     # --- from the broker ---
