A SIGHUP during the start, or a signal during the very end, no longer ends the process

Cause: until `Node.run` set its handlers a SIGHUP killed the process (the system's default), although brokers are told of new settings while others of them are being restarted; and as the loop ends it gives the signals back (`_shutdown_signals` of uvloop), so that a second SIGTERM ended a drained broker by signal, not with 0. Change: `lifecycle/signals.py`: a SIGHUP that comes early is kept and taken once the broker runs; after the loop all three are ignored.

--- a/larchhall/cli.py
+++ b/larchhall/cli.py
@@ -14,6 +14,7 @@
 
 from . import __version__
 from .config import Config, ConfigError, load
+from .lifecycle.signals import hold_hangup
 
 if TYPE_CHECKING:
     from .lifecycle.boot import Node
@@ -48,6 +49,7 @@
               help="The operators' own file (Starlark); without it nothing that it sets is there.")
 def serve(operator_file: str) -> None:
     """Serve clients until SIGTERM."""
+    hold_hangup()
     with _telling():
         config = load(os.environ)
         if config.accept_fd is not None:
--- a/larchhall/lifecycle/boot.py
+++ b/larchhall/lifecycle/boot.py
@@ -22,6 +22,7 @@
 from ..state.wheel import Clock
 from ..wire.client import ClientConnection
 from ..wire.feed import Feed
+from . import signals
 from .drain import Drain
 from .log import Log
 from .operations import Operations
@@ -193,6 +194,8 @@
         self.ticked = self.swept = self.clock.now()
         self.broker.wheel.sooner = self._wake
         self._tick(loop)
+        if signals.came_early():
+            self.reload()
         await self.stopped.wait()
         self.log("stop", "done")
 
@@ -301,5 +304,6 @@
     """Until SIGTERM; ConfigError where the address cannot be listened on."""
     async def main() -> None:
         await make().run()
+        signals.let_be(asyncio.get_running_loop())
 
     uvloop.run(main())
