One connect that comes up late is no engine that is out; a new life gets new connections

Cause: when a connect ran out of its time, all that waited at that engine was reported as CONNECT_FAILED, and the module held the engine to be out, also where it had answered on another connection meanwhile (pools.py, `_connect`). And `EnginePool.moved` retired connections for a new address alone, although it says `or in a new life`: a uid that starts again at its address got sends on connections to its old process. Change: an engine that has spoken during the connect is there: what waited shares its connections. A later `boot_ms` retires what was opened before.

--- a/larchhall/state/pools.py
+++ b/larchhall/state/pools.py
@@ -39,7 +39,7 @@
             return []
         return live
 
-    def send(self, attempt: Attempt, now: int) -> None:
+    def send(self, attempt: Attempt, now: int, dial: bool = True) -> None:
         """Danger: a spoilt answer or a reset ends its connection with all that is open there; so each attempt
         gets one of its own while this engine's part of the descriptors lasts, where handshakes are cheap.
         Answers come under the request's id, also twice, and pages late: nothing else under this id, of this
@@ -63,8 +63,10 @@
                                             and self.pools.room(self)):
             self.pools.unsent(attempt, Result.NOT_SENT)  # nothing more fits before this engine's sockets
             return
-        if best is None or (best.open and self.pools.own and len(self.connections) < self.pools.share(self)
-                            and self.pools.room(self)):
+        if best is None and not dial:
+            self.pools.unsent(attempt, Result.NOT_SENT)
+        elif best is None or (dial and best.open and self.pools.own
+                              and len(self.connections) < self.pools.share(self) and self.pools.room(self)):
             self.waiting.append(attempt)
             self._open()
         else:
@@ -99,7 +101,7 @@
         connection: EngineConnection | None = None
         if self.pools.turn is not None:
             await asyncio.sleep(self.pools.turn(self.number) / 1e9)
-        address = self.target.host, self.target.port
+        address, began = (self.target.host, self.target.port), self.pools.owner.now()
         try:
             if not self.pools.make_room(self):
                 # Danger: that is no fault of the engine's; taken for one, it excludes the busiest of them.
@@ -134,6 +136,14 @@
                     self.send(attempt, now)
             return
         self.pools.log("engine", f"{self.target.uid} at {self.target.host}:{self.target.port}: {why}")
+        if any(c.heard >= began for c in self._usable(now)):
+            # Danger: one connect that comes up late is no engine that is out: it has spoken meanwhile.
+            for tag in probes:
+                self.probe(tag, now)
+            for attempt in waiting:
+                if self.pools.may_go(attempt, Hand.CONNECTION):
+                    self.send(attempt, now, dial=False)
+            return
         for connection in self.connections if result is Result.CONNECT_FAILED else ():
             if connection.open and now - connection.heard > SILENT:
                 connection.retired = True
@@ -144,9 +154,8 @@
 
     def moved(self, target: Target) -> None:
         """News of the engine: at a new address, or in a new life, old connections take nothing more."""
-        address = self.target.host, self.target.port
-        self.target = target
-        if not self._still_at(address):
+        before, self.target = self.target, target
+        if not self._still_at((before.host, before.port)) or target.started > before.started:
             for connection in self.connections:
                 connection.retired = True
 
