What the system knows of an end is asked before a byte leaves: closed engines, clients that went

Cause: ends are read in order, behind all that was sent. A client that sends a hundred requests and goes had up to 32 of them begun before its end was read (wire/client.py, `_read_on`). An engine that closes a resting connection was written to while its end lay unread: reset, may have run, so that unsafe work failed (state/pools.py, `send`). Change: `wire/peer.py` asks the system (POLLRDHUP) before the first request of a turn, and before a send on a resting connection: what is ended by then is not used, which proves that nothing ran. One call a request.

--- a/larchhall/wire/client.py
+++ b/larchhall/wire/client.py
@@ -9,6 +9,7 @@
 from ..state.requests import OpenRequest
 from ..state.wheel import Timer
 from . import frames
+from .peer import has_ended
 from .statement import table_group
 
 MOST_OPEN = 32
@@ -67,6 +68,7 @@
     def __init__(self, front: Front) -> None:
         self.front = front
         self.transport: asyncio.Transport | None = None
+        self.fd = -1
         self.parser = frames.FrameParser()
         self.open: dict[int, OpenRequest | None] = {}  # None while the broker is being asked
         self.last_stream = 0
@@ -87,6 +89,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=HIGH_WATER)
+        self.fd = transport.get_extra_info("socket").fileno()
         if self.front.came(self):
             self.timer = self.front.broker.wheel.at(self.used + FIRST, self._look)
         else:
@@ -119,9 +122,14 @@
         """Danger: a chunk can hold 25,000 frames; all others would stand still until the last is answered."""
         self.reading_on = False
         try:
+            looked = False
             for _ in range(TURN):
                 if self.broken or (frame := self.parser.next()) is None:
                     return
+                if frame.type == frames.REQUEST and not looked:
+                    looked = True
+                    if self._has_left():
+                        return
                 self.first, self.spoken, self.begun = self.begun, True, self.used
                 self._frame(frame)
         except frames.BadFrame as error:
@@ -134,6 +142,16 @@
             self._read_if_wanted()
             asyncio.get_running_loop().call_soon(self._resume)
 
+    def _has_left(self) -> bool:
+        """Danger: who sends much and goes has gone before the last of it is read, and nothing of it may
+        begin then."""
+        if self.fd < 0 or self.front.broker.terms.half_close == "answer" or not has_ended(self.fd):
+            return False
+        self.drop()
+        self._abandon_all()
+        self.broken = True
+        return True
+
     def _resume(self) -> None:
         self._read_on()
         self._read_if_wanted()
@@ -171,7 +189,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.broken = True
-        self.transport = None
+        self.transport, self.fd = None, -1
         self.parser.clear()
         self._count_partial()
         if self.timer is not None:
@@ -308,10 +326,11 @@
 
     def let_go(self) -> None:
         """It is idle: what has been written still leaves."""
-        self.broken = True
+        self.broken, self.fd = True, -1
         if self.transport is not None:
             self.transport.close()
 
     def drop(self) -> None:
+        self.fd = -1  # danger: the number of a descriptor that is closed is soon another connection's
         if self.transport is not None:
             self.transport.abort()
--- a/larchhall/wire/engine.py
+++ b/larchhall/wire/engine.py
@@ -14,6 +14,7 @@
 from ..facade import NoteKind, Result
 from ..state.requests import Attempt
 from . import resp
+from .peer import has_ended
 
 MS = 1_000_000
 MOST_PAGES = 1_024
@@ -107,6 +108,10 @@
         elif isinstance(about, bytes):
             self.undo_waits.discard(about)
 
+    def ended_by_engine(self) -> bool:
+        """Its end has come, and is not read yet: what would be written now can't run."""
+        return self.fd >= 0 and has_ended(self.fd)
+
     def flush(self) -> None:
         """Write until the socket takes no more. Danger: what the transport's own buffer holds can't be taken
         back: it is given nothing; how much has left is known to the byte."""
