Settings that leave a repeat to a guess are one line that names file and key

Cause: a class with an idempotency key and no `window` got 0 by default (config.py, `_class_settings`); no line named the file; a number of 5,000 digits ended the start with a traceback (`json.load` raises ValueError). Change: `window` must be there for classes with a key; each fault ends with `, in FILE`; the number is a fault of the file. At SIGHUP the old settings stay.

--- a/larchhall/config.py
+++ b/larchhall/config.py
@@ -113,15 +113,18 @@
         values = listed(special, f"specifics.{name}", kind)
         return values[index] if index < len(values) else default
 
+    effect = chosen(EFFECTS, get(source, "classes.effect", "text"), "classes.effect")
+    # Danger: how long engines know a repeat can't be guessed; past that time it would run twice.
+    window = MISSING if effect is api.Effect.KEYED else 0
     return api.RequestClass(
         name=get(source, "classes.name", "text"), aim=get(source, "classes.aim", "whole number"),
         deadline=get(source, "classes.deadline", "whole number"),
         worth=get(source, "classes.worth", "number"),
-        effect=chosen(EFFECTS, get(source, "classes.effect", "text"), "classes.effect"),
+        effect=effect,
         late_worth=get(source, "classes.late_value", "number", 0.0),
         aim_stretch=get(source, "classes.aim_stretch", "number", 0.0),
         scope=chosen(SCOPES, get(source, "classes.group", "text", "all") or "all", "classes.group"),
-        window=get(source, "classes.window", "whole number", 0),
+        window=get(source, "classes.window", "whole number", window),
         in_order=get(source, "classes.fifo_by_key", "bool", False),
         only_zones=tuple(listed(source, "classes.zones_only", "text")),
         only_kinds=tuple(listed(source, "classes.kinds_allowed", "text")),
@@ -320,7 +323,7 @@
     fall back to its default, in service and without a word: such a file is turned down whole."""
     read = load(environ)
     for key in lacking(running.told, read.told):
-        raise ConfigError(f"{key}: is missing")
+        raise ConfigError(f"{key}: is missing, in {environ['PROXY_CONFIG']}")
     return read
 
 
@@ -335,6 +338,10 @@
             raw = json.load(file)
     except (OSError, UnicodeDecodeError, RecursionError) as error:
         raise ConfigError(f"PROXY_CONFIG: {path}: {error}") from None
-    except json.JSONDecodeError as error:
+    except ValueError as error:  # also of a number with more digits than are read
         raise ConfigError(f"PROXY_CONFIG: {path} holds no JSON ({error})") from None
-    return parse(raw, environ)
+    try:
+        return parse(raw, environ)
+    except ConfigError as error:
+        # Of the environment alone: the line names its variable, and no file holds it.
+        raise ConfigError(str(error) if str(error).startswith("PROXY_") else f"{error}, in {path}") from None
