--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,443 @@
+"""Two events that cross, forced by a held socket or a seam; `docs/design/rare-moments.md` has the table."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from larchhall import interface as api
+from larchhall.broker import Ask
+from larchhall.lifecycle.drain import Drain
+from larchhall.state.pools import EnginePool
+from larchhall.wire import frames, resp
+from larchhall.wire.bus import parse_event
+
+from .helpers import MS, Harness, S, entry, make_settings, query_class
+from .sockets import (
+    STATEMENT,
+    Bus,
+    Client,
+    Engine,
+    event,
+    free_port,
+    make_config,
+    on_uvloop,
+    running,
+    settings,
+    target,
+    until,
+    within,
+)
+from .test_lifecycle import ROOT, connect, make_known, write_config
+
+
+def asked(stream: int = 1, **fields: str) -> bytes:
+    """A request's frame."""
+    return frames.frame(frames.REQUEST, stream, frames.write_fields(
+        {"route": "lookup", "trace": f"{stream:016x}", "patience": "4000", "customer": "acme",
+         "weight": "10.0", **fields}) + STATEMENT)
+
+
+@asynccontextmanager
+async def process(folder: Path, **changes: Any) -> AsyncIterator[tuple[Any, int]]:
+    """The real program, and its port."""
+    port = free_port()
+    made = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "larchhall", "serve", cwd=ROOT, stderr=asyncio.subprocess.DEVNULL,
+        env=write_config(folder, listen=f"127.0.0.1:{port}", **changes))
+    try:
+        yield made, port
+    finally:
+        if made.returncode is None:
+            made.kill()
+        await made.wait()
+
+
+# --- shutdown ---
+
+
+@on_uvloop
+async def test_what_comes_after_the_shutdown_is_not_sent_on_and_resets_nothing() -> None:
+    """Danger: its request would be lost with the process; unread, it would take the last answer with it."""
+    engine = Engine()
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        loop = asyncio.get_running_loop()
+        with socket.create_connection(("127.0.0.1", rig.port)) as raw:
+            raw.sendall(asked(1))
+            await until(lambda: engine.words(b"do"))
+            drain = Drain(rig.node)
+            drain.loop, drain.begun_at = loop, rig.node.clock.now()
+            raw.sendall(asked(2) + asked(3)[:20])  # in the system's buffer between the last look and the end
+            drain._shut()
+            raw.setblocking(False)
+            read = b""
+            while part := await within(loop.sock_recv(raw, 65_536)):  # raises where it is reset
+                read += part
+        await within(rig.node.stopped.wait())
+        assert len(engine.words(b"do")) == 1
+        assert read == frames.answer(1, frames.SERVED, {}, b"a\tb\tc\n")
+
+
+@on_uvloop
+async def test_a_client_that_rests_to_the_end_and_second_signals_change_nothing(tmp_path: Path) -> None:
+    engine = Engine(lambda *_: None)
+    known = make_known(target("s-1", await engine.start()))
+    async with process(tmp_path, known=known) as (broker, port):
+        client, resting = await within(connect(port)), await within(connect(port))
+        client.ask()
+        resting.send(frames.ASK_READY, 0, b"\0")
+        assert (await resting.frame())[0] == frames.READY
+        await until(lambda: engine.words(b"do"))
+        broker.send_signal(signal.SIGTERM)
+        assert await resting.frame() == (frames.NO_MORE, 0, b"")
+        assert await client.frame() == (frames.NO_MORE, 0, b"")
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            broker.send_signal(number)
+        engine.serve(engine.words(b"do")[0], engine.writers[0])
+        assert (await client.answer())[1] == frames.SERVED
+        assert await within(resting.reader.read()) == b"" and await within(client.reader.read()) == b""
+        assert await within(broker.wait()) == 0
+
+
+@on_uvloop
+async def test_an_engine_that_hangs_at_the_end_costs_its_request_alone_and_in_time(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """The shortest deadline there is still leaves the last answers before the SIGKILL."""
+    engine = Engine(lambda *_: None)
+    classes = [dict(name="lookup", aim=300 * MS, deadline=700 * MS, worth=1.0, effect="read_like")]
+    async with running(make_config(target("s-1", await engine.start()), classes=classes)) as rig:
+        client = await rig.client()
+        client.ask(patience="700")
+        await until(lambda: engine.words(b"do"))
+        drain = Drain(rig.node)
+        drain.loop = asyncio.get_running_loop()
+        drain.begun_at = rig.node.clock.now() - int(drain.last * 1e9)
+        assert drain.last < 0.7 + 0.7
+        drain._look()
+        assert (await client.answer())[:2] == (1, frames.REFUSED)
+        assert await within(client.reader.read()) == b""
+        client.writer.close()
+        await within(rig.node.stopped.wait())
+
+
+def test_signals_between_the_loop_s_end_and_the_process_s_are_nothing() -> None:
+    """The loop gives the signals back to the system; its end in failure would count as a crash."""
+    program = ("import asyncio, os, signal\n"
+               "from larchhall.lifecycle.boot import serve\n"
+               "class Short:\n"
+               "    async def run(self):\n"
+               "        for n in (signal.SIGTERM, signal.SIGHUP):\n"
+               "            asyncio.get_running_loop().add_signal_handler(n, print)\n"
+               "serve(Short)\n"
+               "for n in (signal.SIGTERM, signal.SIGHUP):\n"
+               "    os.kill(os.getpid(), n)\n")
+    assert os.spawnv(os.P_WAIT, sys.executable, [sys.executable, "-c", program]) == 0
+
+
+@on_uvloop
+async def test_what_was_read_before_a_broken_frame_gets_its_answers() -> None:
+    engine = Engine(lambda *_: None)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client = await rig.client()
+        client.ask(1, trace="1" * 16)
+        client.ask(2, trace="2" * 16, route="till-load")
+        await until(lambda: len(engine.words(b"do")) == 2)
+        client.send(77, 3)
+        answers = {(await client.answer())[:2] for _ in range(3)}
+        assert answers == {(1, frames.REFUSED), (2, frames.FAILED), (0, frames.FAILED)}
+        assert await within(client.reader.read()) == b""
+        assert not [r for r in rig.node.broker.requests.values() if r.client is not None]
+
+
+# --- signals at the start ---
+
+
+@on_uvloop
+async def test_a_sighup_that_comes_while_the_settings_are_read_is_taken_after_the_start(
+        tmp_path: Path) -> None:
+    """Held by the file: it is a pipe, so that the start stands in the middle of reading it."""
+    port, path = free_port(), tmp_path / "config.json"
+    env = write_config(tmp_path, listen=f"127.0.0.1:{port}", known=make_known(target("s-1", 9)))
+    text = path.read_text()
+    path.unlink()
+    os.mkfifo(path)
+    broker = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "larchhall", "serve", cwd=ROOT, env=env, stderr=asyncio.subprocess.DEVNULL)
+
+    def told(text: str) -> None:
+        with open(path, "w") as pipe:  # waits until the other side has it open
+            pipe.write(text)
+
+    def hung_up() -> None:
+        with open(path, "w") as pipe:
+            broker.send_signal(signal.SIGHUP)
+            pipe.write(text)
+
+    try:
+        await within(asyncio.to_thread(hung_up))
+        changed = json.loads(text)
+        changed["settings"]["classes"][0]["name"] = "glance"
+        client = await within(connect(port))  # it listens: the first reading is over
+        await within(asyncio.to_thread(told, json.dumps(changed)))  # it is read again: the signal was kept
+        client.ask(route="glance")
+        assert (await client.answer())[:2] == (1, frames.REFUSED)  # no engine is there; the class is
+    finally:
+        broker.kill()
+        await broker.wait()
+
+
+# --- departures ---
+
+
+@on_uvloop
+async def test_of_a_client_that_sends_much_and_goes_nothing_begins() -> None:
+    """Its end lies behind all that it sent, unread, when the first of it is read."""
+    engine = Engine()
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        for _ in range(3):
+            with socket.create_connection(("127.0.0.1", rig.port)) as raw:
+                raw.sendall(b"".join(asked(n) for n in range(1, 100)))
+        client = await rig.client()
+        client.ask(trace="f" * 16)
+        assert (await client.answer())[1] == frames.SERVED
+        assert [do[1] for do in engine.words(b"do")] == [b"f" * 16]
+        await until(lambda: len(rig.node.clients) == 1)
+        assert not rig.node.broker.requests
+
+
+@on_uvloop
+async def test_idle_clients_that_fill_the_descriptors_keep_out_neither_the_list_nor_engines() -> None:
+    engine, bus, port = Engine(), Bus(), free_port()
+    spare = await engine.start()
+    config = make_config(listed=False, bus=port)
+    async with running(config) as rig:
+        most = rig.node.most_clients
+        idle = [socket.create_connection(("127.0.0.1", rig.port)) for _ in range(most + 20)]
+        await until(lambda: len(rig.node.clients) == most)
+        assert not rig.node.ready()
+        bus.server = await asyncio.start_server(bus._client, "127.0.0.1", port)  # discovery is back
+        await until(lambda: bus.writer)
+        bus.tell(event(1, target("s-1", spare), full=True))
+        client = await rig.client()
+        await until(rig.node.ready)
+        client.ask()
+        assert (await client.answer())[1] == frames.SERVED
+        held = len(rig.node.clients) + rig.node.broker.pools._held()
+        assert held < config.sockets
+        for raw in idle:
+            raw.close()
+
+
+# --- closes by engines ---
+
+
+class Caller:
+    """A client's side without a socket, so that a request is taken in a stated moment."""
+
+    def __init__(self) -> None:
+        self.told: asyncio.Queue[str] = asyncio.Queue()
+
+    def served(self, stream: int, body: bytes) -> None:
+        self.told.put_nowait("served")
+
+    def refused(self, stream: int, pause_ms: int) -> None:
+        self.told.put_nowait("refused")
+
+    def failed(self, stream: int, reason: str) -> None:
+        self.told.put_nowait("failed")
+
+
+def ask_of(route: str = "till-load", trace: str = "a" * 16, nonce: str | None = None) -> Ask:
+    return Ask(route, trace, "acme", 4_000.0, 10.0, 1.0, False, 3, STATEMENT, nonce)
+
+
+@pytest.mark.parametrize("reset", [False, True])
+@on_uvloop
+async def test_a_send_that_meets_an_engine_s_idle_close_never_ran(reset: bool) -> None:
+    """The close is here, unread, as the request is decided on: what proves that nothing ran is its order."""
+    engine = Engine()
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client = await rig.client()
+        client.ask()
+        assert (await client.answer())[1] == frames.SERVED
+        number = engine.writers[0].transport.get_extra_info("socket").fileno()
+        with socket.socket(fileno=os.dup(number)) as its:
+            if reset:
+                its.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+                engine.writers[0].transport.abort()
+                await until(lambda: engine.writers[0].transport.is_closing())
+            its.shutdown(socket.SHUT_RDWR)
+        caller = Caller()
+        rig.node.broker.submit(caller, 1, ask_of())
+        assert await within(caller.told.get()) == "served"
+        assert len(engine.words(b"do")) == 2 and len(engine.writers) == 2
+
+
+class Held:
+    """An engine that takes connections one at a time: the next one that is dialled does not come up."""
+
+    def __init__(self) -> None:
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0)
+        self.listener.setblocking(False)
+        self.port = int(self.listener.getsockname()[1])
+
+    async def take(self) -> Client:
+        made, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+        return Client(*await asyncio.open_connection(sock=made))
+
+    def fill(self) -> socket.socket:
+        """Its queue is full from now on."""
+        return socket.create_connection(("127.0.0.1", self.port))
+
+
+@on_uvloop
+async def test_a_connect_that_comes_up_late_is_no_engine_that_is_out() -> None:
+    """It has spoken meanwhile on the connection that it has: what waited goes there."""
+    held = Held()
+    async with running(make_config(target("s-1", held.port))) as rig:
+        client = await rig.client()
+        client.ask(1, trace="1" * 16)
+        engine = await within(held.take())
+        await within(engine.reader.readuntil(STATEMENT))
+        with held.fill():
+            client.ask(2, trace="2" * 16)
+            pool = next(iter(rig.node.broker.pools.by_number.values()))
+            await until(lambda: pool.waiting)
+            engine.writer.write(resp.encode(b"1" * 16, b"update", b"tell=pct,amount=0.5", b""))
+            assert b"2" * 16 in await within(engine.reader.readuntil(STATEMENT))
+            for trace in (b"1" * 16, b"2" * 16):
+                engine.writer.write(resp.encode(trace, b"served", b"chunks=1", b"a\tb\tc\n"))
+            assert {(await client.answer())[:2] for _ in range(2)} == {(1, frames.SERVED), (2, frames.SERVED)}
+        assert not next(iter(rig.node.broker.facade.controller.engines.values())).suspect
+        held.listener.close()
+
+
+@on_uvloop
+async def test_a_connect_that_fails_at_a_silent_engine_still_counts_against_it() -> None:
+    held = Held()
+    async with running(make_config(target("s-1", held.port))) as rig:
+        client = await rig.client()
+        client.ask(1, trace="1" * 16)
+        engine = await within(held.take())
+        with held.fill():
+            client.ask(2, trace="2" * 16)
+            assert (await client.answer())[:2] == (2, frames.REFUSED)
+        assert next(iter(rig.node.broker.facade.controller.engines.values())).suspect
+        engine.writer.close()
+        held.listener.close()
+
+
+@on_uvloop
+async def test_an_engine_in_a_new_life_at_its_old_address_gets_new_connections() -> None:
+    engine = Engine()
+    port = await engine.start()
+    async with running(make_config(target("s-1", port))) as rig:
+        client = await rig.client()
+        client.ask(1, trace="1" * 16)
+        assert (await client.answer())[1] == frames.SERVED
+        born = rig.node.broker.now() // MS - 60_000
+        rig.node.broker.news(parse_event(event(2, target("s-1", port, boot_ms=born))))
+        client.ask(2, trace="2" * 16)
+        assert (await client.answer())[1] == frames.SERVED
+        assert engine.carried[-1] is engine.writers[1] and len(engine.writers) == 2
+
+
+# --- windows ---
+
+
+@pytest.mark.parametrize("late", [False, True])
+@on_uvloop
+async def test_a_keyed_repeat_leaves_within_its_window_or_not_at_all(
+        late: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Danger: decided on within the window, it waits for a slow connection and leaves after it."""
+    window, gate = 600 * MS, asyncio.Event()
+    classes = [dict(name="claim", aim=S, deadline=20 * S, worth=1.0, effect="idempotency_key", window=window)]
+    engines = [Engine(lambda e, parts, w: w.write(resp.encode(parts[1], b"crashed", b"-", b"")))
+               for _ in range(2)]
+    connect, dialled = EnginePool._connect, list[EnginePool]()
+
+    async def slow(self: EnginePool) -> None:
+        dialled.append(self)
+        if len(dialled) > 1:  # the repeat's
+            await gate.wait()
+        await connect(self)
+
+    monkeypatch.setattr(EnginePool, "_connect", slow)
+    targets = [target(f"s-{n}", await e.start()) for n, e in enumerate(engines)]
+    async with running(make_config(*targets, classes=classes)) as rig:
+        caller = Caller()
+        rig.node.broker.submit(caller, 1, ask_of("claim", nonce="k1"))
+        await until(lambda: len(dialled) == 2 and dialled[1].waiting)
+        assert sum(len(e.words(b"do")) for e in engines) == 1
+        if late:
+            rig.node.clock.anchor += window
+        gate.set()
+        assert await within(caller.told.get()) == "refused"  # its engines all know the key
+        assert sum(len(e.words(b"do")) for e in engines) == 1 + (not late)
+
+
+# --- health beside a drain ---
+
+
+def test_with_every_open_engine_held_to_be_out_one_that_drains_keeps_none_of_them_shut() -> None:
+    """Danger: where all are held to be out, all are tried; one that drains in good health is none to try."""
+    h = Harness(make_settings(query_class(deadline=60 * S)), entry(1), entry(2), entry(3))
+    h.do(api.ListNews(api.ListKind.CHANGES, (entry(3, state=api.EngineState.DRAINING),)))
+    for number in (1, 2):
+        h.controller._suspect(h.now, h.controller.engines[number], True)
+        h.controller.engines[number].next_trial = h.now + 9 * S
+    h.arrive("r", estimate=40 * MS)
+    assert h.sends("r")[0].engine in (1, 2)
+
+
+# --- settings ---
+
+
+KEYED = dict(name="claim", aim=S, deadline=5 * S, worth=1.0, effect="idempotency_key", window=S)
+
+
+@pytest.mark.parametrize(("change", "line"), [
+    (dict(window=None), "settings.classes.window: is missing"),
+    (dict(deadline=None), "settings.classes.deadline: is missing"),
+    (dict(effect="at_most_twice"), "settings.classes.effect: unknown value 'at_most_twice'"),
+    (dict(effect=None), "settings.classes.effect: is missing"),
+    (dict(group="planet"), "settings.classes.group: unknown value 'planet'"),
+    (dict(deadline=0), "settings.classes.deadline: must be above 0")])
+@on_uvloop
+async def test_settings_that_leave_a_repeat_to_a_guess_end_the_start_and_change_nothing_later(
+        tmp_path: Path, change: dict[str, Any], line: str) -> None:
+    bad = settings(classes=[{k: v for k, v in {**KEYED, **change}.items() if v is not None}])
+    env = write_config(tmp_path, settings=bad)
+    whole = f"{line}, in {tmp_path / 'config.json'}"
+    made = await asyncio.create_subprocess_exec(sys.executable, "-m", "larchhall", "serve", cwd=ROOT, env=env,
+                                                stderr=asyncio.subprocess.PIPE)
+    assert (await within(made.communicate()))[1].decode() == f"larchhall: {whole}\n" and made.returncode == 2
+    async with running(make_config(classes=[KEYED]), env) as rig:
+        before = rig.node.config
+        rig.node.reload()
+        assert rig.node.config is before and rig.node.broker.config.settings is before.settings
+        assert any(line in said for said in rig.logged), rig.logged
+
+
+def test_a_number_of_any_length_is_one_line(tmp_path: Path) -> None:
+    env = write_config(tmp_path)
+    (tmp_path / "config.json").write_text('{"seed": ' + "9" * 5_000 + "}")
+    done = subprocess.run([sys.executable, "-m", "larchhall", "serve"], env=env, cwd=ROOT,
+                          capture_output=True, text=True, check=False)
+    assert done.returncode == 2
+    assert done.stderr.startswith("larchhall: PROXY_CONFIG: ") and done.stderr.count("\n") == 1
+
+
