--- a/benchmarks/cells.py
+++ b/benchmarks/cells.py
@@ -36,7 +36,7 @@
 MS = 1_000_000
 S = 1_000 * MS
 BASE = "22cc526"  # the last commit before cells
-AIM = {"lookup": 1 * S, "till-load": 3 * S}
+AIM = {"glance": 1 * S, "stock-add": 3 * S}
 SPECIFICS = {"size_cores": [4], "parallelism": [1, 2], "memory_heeded": True, "lanes_count": True}
 
 
@@ -53,7 +53,7 @@
         await asyncio.sleep(max(0.0, begun + due[name] - loop.time()))
         due[name] += draw.expovariate(rates[name])
         load = draw.random() < 0.1
-        route, threads = ("till-load", 2) if load else ("lookup", 1)
+        route, threads = ("stock-add", 2) if load else ("glance", 1)
         if name == "bad":
             await book.ask(name, route, 1_000, 5 * S, threads=threads, weight=10, rows=1_500)
         else:
@@ -167,7 +167,7 @@
         figures.tell("moves.requests", len(book.asked))
         figures.tell("moves.requests_without_one_answer",
                      sum(a.answers != 1 for a in book.asked) + book.strays, most=0)
-        figures.tell("moves.unsafe_run_twice", len(ran_twice(engines, b"till-load")), most=0)
+        figures.tell("moves.unsafe_run_twice", len(ran_twice(engines, b"stock-add")), most=0)
         figures.tell("moves.sent_after_drain", world.sent_after_drain(S), most=0)
         figures.tell("moves.engines_fallen", sum(e.machine.fallen for e in engines), most=0)
         for name, asked in (("during", during), ("apart", apart)):
@@ -184,7 +184,7 @@
 async def _steady(book: Book, names: list[str], draw: random.Random, over: asyncio.Event) -> None:
     while not over.is_set():
         load = draw.random() < 0.15
-        await book.ask(draw.choice(names), "till-load" if load else "lookup", draw.uniform(5, 40), 4 * S,
+        await book.ask(draw.choice(names), "stock-add" if load else "glance", draw.uniform(5, 40), 4 * S,
                        threads=2 if load else 1)
         await asyncio.sleep(draw.expovariate(150.0))
 
@@ -237,12 +237,12 @@
     book, ledger = Book("127.0.0.1", int(node.server.sockets[0].getsockname()[1])), node.celled.requests_lent
     ledger.divide(40, node.celled.shares())
     for _ in range(60):
-        await book.ask("x", "lookup", 1, 5 * S, weight=1)
+        await book.ask("x", "glance", 1, 5 * S, weight=1)
     await asyncio.sleep(0.1)
     figures.tell("loans.lent", ledger.lent("a"), least=1)
     begun, held = time.monotonic(), 0
     while held < ledger.accounts["b"].part and time.monotonic() - begun < 5:
-        await book.ask("y", "lookup", 1, 5 * S, weight=1)
+        await book.ask("y", "glance", 1, 5 * S, weight=1)
         await asyncio.sleep(0.01)
         held = ledger.accounts["b"].used
     figures.tell("loans.owner_has_its_part_after_ms", (time.monotonic() - begun) * 1e3, most=1_000.0)
@@ -317,7 +317,7 @@
     left = count
     while left or any(c.open for c in daemon.book.counters):
         while left and sum(len(c.open) for c in daemon.book.counters) < 40:
-            await daemon.book.ask(f"t{left % 4}", "lookup", 0, 5 * S, weight=5)
+            await daemon.book.ask(f"t{left % 4}", "glance", 0, 5 * S, weight=5)
             left -= 1
         await asyncio.sleep(0.001)
     return (daemon.used() - begun) / count / 1e3
--- a/benchmarks/deadlines.py
+++ b/benchmarks/deadlines.py
@@ -167,7 +167,7 @@
         usable = [c for c in book.counters if c.usable()]
         counter = draw.choice(usable) if len(usable) >= MOST_CLIENTS else await book.counter()
         load = draw.random() < 0.2
-        asked = Asked(f"{seed:04x}{number:012x}", "acme", "till-load" if load else "lookup", time.time_ns(),
+        asked = Asked(f"{seed:04x}{number:012x}", "acme", "stock-add" if load else "glance", time.time_ns(),
                       int(draw.choice([150, 400, 1_000, 3_000]) * MS))
         size = draw.choice([0, 0, 0, 0, 40_000, 150_000])
         if load:
@@ -368,7 +368,7 @@
 
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            asked = await daemon.book.ask("acme", "lookup", draw.uniform(200, 800), 5 * S)
+            asked = await daemon.book.ask("acme", "glance", draw.uniform(200, 800), 5 * S)
             if draw.random() < 0.5:
                 asyncio.get_running_loop().call_later(draw.uniform(0.0, 0.2), leave, asked)
             await asyncio.sleep(draw.expovariate(18.0))
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -33,7 +33,7 @@
 from larchhall.state.wheel import Wheel
 engines, brokers, count = map(int, sys.argv[1:])
 S = 10**9
-classes = (api.RequestClass("lookup", S, 5 * S, 1.0),
+classes = (api.RequestClass("glance", S, 5 * S, 1.0),
            api.RequestClass("report", 3 * S // 2, 20 * S, 10.0, threads=4))
 settings = api.Settings(classes=classes, fleet_size=brokers, tick=5_000_000, kind_cores=(("std", 8),))
 draw, now = random.Random(11), 100 * S
@@ -48,7 +48,7 @@
     wheel.advance(now)
     while facade.due:
         facade.tick(now)
-    route, work = ("report", 4 * S) if draw.random() < 0.05 else ("lookup", S // 5)
+    route, work = ("report", 4 * S) if draw.random() < 0.05 else ("glance", S // 5)
     orders = facade.pick(now, Query(str(i), route, 5 * S, None, work, 10.0, draw.randrange(40), False))
     out.extend((s, now) for s in orders.sends)
     while out and (len(out) > 6 or out[0][1] < now - S // 4):
@@ -94,7 +94,7 @@
 
 
 def settings(me: int, brokers: int) -> api.Settings:
-    classes = (api.RequestClass("lookup", S, 5 * S, 1.0),
+    classes = (api.RequestClass("glance", S, 5 * S, 1.0),
                api.RequestClass("report", 3 * S // 2, 20 * S, 10.0, threads=4))
     return api.Settings(classes=classes, fleet_size=brokers, me=me, tick=5 * MS, kind_cores=(("std", 8),),
                         contract=api.Contract(cold_from=0.36, cold=12 * S, fall=1_500 * MS,
--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -84,7 +84,7 @@
     bad = Failing(sim, numbers[0], Machine())
     engines: dict[int, SimEngine] = {n: SimEngine(sim, n, Machine()) for n in numbers[1:]}
     engines[numbers[0]] = bad
-    classes = (api.RequestClass("lookup", S, 5 * S, 1.0),)
+    classes = (api.RequestClass("glance", S, 5 * S, 1.0),)
     names = [f"b{i}" for i in range(count)]
     zones = {Engine(str(n), 0): "a" for n in numbers}
     acted: dict[str, int] = {}
@@ -123,7 +123,7 @@
 
     def arrive() -> None:
         sim.at(sim.now + int(sim.draw.expovariate(1) * gap), arrive)
-        sim.draw.choice(brokers)[0].ask(str(next(ids)), "lookup", S // 5, 1, 5 * S)
+        sim.draw.choice(brokers)[0].ask(str(next(ids)), "glance", S // 5, 1, 5 * S)
 
     arrive()
     sim.run(25)
--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -99,7 +99,7 @@
                     for i in itertools.count():
                         if time.monotonic() > begun + until:
                             break
-                        route = "till-load" if i % 6 == 5 else "lookup"
+                        route = "stock-add" if i % 6 == 5 else "glance"
                         await book.ask("", route, 40, 4_000 * MS)
                         await asyncio.sleep(1 / ASKS)
                     await book.settle(5.0)
@@ -130,7 +130,7 @@
             "memory": sum(memory) / len(memory),
             "served": seen[0] / max(1, len(asked)), "unanswered": sum(a.answers != 1 for a in asked),
             "strays": sum(b.strays for b in books),
-            "twice": len(ran_twice(list(world.engines.values()), b"till-load"))}
+            "twice": len(ran_twice(list(world.engines.values()), b"stock-add"))}
 
 
 def in_hand(machine: Machine) -> float:
@@ -214,7 +214,7 @@
 
 
 LOAD = 0.6    # of what the warm engines can do, asked from the first second on
-CLASSES = (api.RequestClass("lookup", S, 5 * S, 1.0),
+CLASSES = (api.RequestClass("glance", S, 5 * S, 1.0),
            api.RequestClass("report", 3 * S // 2, 20 * S, 10.0, threads=4))
 
 
@@ -272,7 +272,7 @@
         if members:  # a front hands them to who is ready
             number, wide = next(asked), sim.draw.random() < 0.1
             work = sim.draw.uniform(0.5, 1.5) * (4 * S if wide else S // 5)
-            sim.draw.choice(members).ask(str(number), "report" if wide else "lookup", work, 4 if wide else 1,
+            sim.draw.choice(members).ask(str(number), "report" if wide else "glance", work, 4 if wide else 1,
                                          (20 if wide else 5) * S)
 
     arrive()
--- a/larchhall/demo.py
+++ b/larchhall/demo.py
@@ -23,9 +23,9 @@
 from .wire import frames
 
 MS = 1_000_000
-AIMS = {"lookup": 1_000 * MS, "till-load": 3_000 * MS}
+AIMS = {"glance": 1_000 * MS, "stock-add": 3_000 * MS}
 CELLS = CellMap(1, (Cell("counters", engines=("s-1", "s-2")), Cell("finance", engines=("s-3",))), "counters",
-                {"likoni": Tenant("likoni", ("counters",)), "kilifi": Tenant("kilifi", ("finance",))})
+                {"harbour": Tenant("harbour", ("counters",)), "inland": Tenant("inland", ("finance",))})
 
 
 def play(seconds: float, say: Callable[[str], None]) -> int:
@@ -38,7 +38,7 @@
     await world.start("s-1", "s-2", "s-3", cores=2)
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "config.json"
-        raw = config(world, "127.0.0.1:1", tenants=tenants("likoni", "kilifi"),
+        raw = config(world, "127.0.0.1:1", tenants=tenants("harbour", "inland"),
                      kinds=["std"], specifics={"size_cores": [2], "parallelism": [1, 2]})
         path.write_text(json.dumps(raw))
         told = parse(raw, {})
@@ -55,7 +55,7 @@
         ready = await patiently((await book.counter()).ask_ready(), 5.0)
         say(f"three engines, their bus and a broker with two cells on 127.0.0.1:{port}; "
             f"{'ready' if ready else 'not ready'}")
-        say(f"for {seconds:.0f} s: likoni asks what its cell can do, kilifi four times that\n")
+        say(f"for {seconds:.0f} s: harbour asks what its cell can do, inland four times that\n")
         await _load(book, seconds)
         await book.settle(6.0)
         say(table(["tenant", "cell", "asked", "served", "in time", "refused", "failed", "median ms"], [
@@ -64,7 +64,7 @@
              str(sum(a.code == frames.REFUSED for a in asked)),
              str(sum(a.code == frames.FAILED for a in asked)),
              f"{quantile([(a.answered - a.sent) / MS for a in asked if a.code == 0], 0.5):.0f}"]
-            for name in ("likoni", "kilifi") for asked in [book.of(name)]]))
+            for name in ("harbour", "inland") for asked in [book.of(name)]]))
         say("\n" + table(["engine", "cell", "queries run"], [
             [uid, next(c.name for c in CELLS.cells if uid in c.engines), str(len(e.machine.ledger))]
             for uid, e in world.engines.items()]))
@@ -81,8 +81,8 @@
     """Poisson arrivals from a fixed seed."""
     draw, loop = random.Random(7), asyncio.get_running_loop()
     begun = loop.time()
-    due = {"likoni": 0.0, "kilifi": 0.0}
-    rates = {"likoni": 40.0, "kilifi": 160.0}
+    due = {"harbour": 0.0, "inland": 0.0}
+    rates = {"harbour": 40.0, "inland": 160.0}
     while True:
         name = min(due, key=lambda n: due[n])
         if due[name] > seconds:
@@ -90,6 +90,6 @@
         await asyncio.sleep(max(0.0, begun + due[name] - loop.time()))
         due[name] += draw.expovariate(rates[name])
         if draw.random() < 0.9:
-            await book.ask(name, "lookup", draw.uniform(10, 60), 5_000 * MS, group=draw.randint(1, 20))
+            await book.ask(name, "glance", draw.uniform(10, 60), 5_000 * MS, group=draw.randint(1, 20))
         else:
-            await book.ask(name, "till-load", draw.uniform(100, 200), 20_000 * MS, threads=2)
+            await book.ask(name, "stock-add", draw.uniform(100, 200), 20_000 * MS, threads=2)
--- a/larchhall/standins/world.py
+++ b/larchhall/standins/world.py
@@ -15,8 +15,8 @@
 
 def settings(**changes: Any) -> dict[str, Any]:
     """The simulator's start settings, small."""
-    classes = [dict(name="lookup", aim=1_000 * MS, deadline=5_000 * MS, worth=1.0, effect="read_like"),
-               dict(name="till-load", aim=3_000 * MS, deadline=25_000 * MS, worth=7.5,
+    classes = [dict(name="glance", aim=1_000 * MS, deadline=5_000 * MS, worth=1.0, effect="read_like"),
+               dict(name="stock-add", aim=3_000 * MS, deadline=25_000 * MS, worth=7.5,
                     effect="non_idempotent")]
     base: dict[str, Any] = dict(
         classes=classes, fleet_size=1, tick=5 * MS, zone="east", kinds=["std"], tenants=[{"name": "acme"}],
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -63,7 +63,7 @@
         self.reader, self.writer = reader, writer
 
     def ask(self, stream: int = 1, body: bytes = STATEMENT, **fields: str | None) -> None:
-        given = {"route": "lookup", "trace": TRACE, "patience": "4000", "customer": "acme", "weight": "10.0",
+        given = {"route": "glance", "trace": TRACE, "patience": "4000", "customer": "acme", "weight": "10.0",
                  "ram": "16", **fields}
         kept = {name: value for name, value in given.items() if value is not None}
         self.send(frames.REQUEST, stream, frames.write_fields(kept) + body)
--- a/tests/test_cells_pure.py
+++ b/tests/test_cells_pure.py
@@ -60,10 +60,10 @@
 def test_a_spread_tenant_has_parts_that_stay_where_they_are() -> None:
     cells = tuple(Cell(n) for n in "abc")
     said = CellMap(1, cells, "a", {"x": Tenant("x", ("a", "b", "c"), "data_set")})
-    parts = {d: said.subject("x", "lookup", d) for d in range(200)}
+    parts = {d: said.subject("x", "glance", d) for d in range(200)}
     homes = Counter(said.home(p) for p in parts.values())
     assert set(homes) == set("abc") and min(homes.values()) > 20
-    assert said.subject("x", "report", 7) == parts[7] and said.subject("y", "lookup", 7) == "y"
+    assert said.subject("x", "report", 7) == parts[7] and said.subject("y", "glance", 7) == "y"
     assert said.known(parts[7]) and not said.known("x") and not said.known("x#64") and not said.known("x#07")
     # One cell fewer: the parts of the others stay.
     less = CellMap(2, cells, "a", {"x": Tenant("x", ("a", "b"), "data_set")})
--- a/tests/test_cells_sockets.py
+++ b/tests/test_cells_sockets.py
@@ -104,7 +104,7 @@
         assert all(d[1].startswith(b"acme".hex().encode()) for d in one.words(b"do"))
         assert not hall(rig).where and not hall(rig).open and not node(rig).celled.charged
         text = (await call(rig, b"GET /metrics HTTP/1.1\r\n\r\n"))[2]
-        assert 'larchhall_cell_replies_total{cell="a",type="lookup",status="success"} 10' in text
+        assert 'larchhall_cell_replies_total{cell="a",type="glance",status="success"} 10' in text
 
 
 @on_uvloop
@@ -112,7 +112,7 @@
     one, two_ = Engine(lambda *_: None), Engine()
     async with pair(two(), one, two_) as rig:
         client = await rig.client()
-        ask(client, 1, "acme", route="till-load")
+        ask(client, 1, "acme", route="stock-add")
         await until(lambda: one.words(b"do"))
         status, _, body = await call(rig, b"POST /cells/move/acme/b HTTP/1.1\r\n\r\n")
         assert status == 200 and json.loads(body)["stage"] == "proposed"
@@ -123,7 +123,7 @@
         assert len(two_.words(b"do")) == 1 and stage(rig) is Stage.DRAINING
         # The one under way comes again under its id: it joins the first, in the first's cell.
         other = await rig.client()
-        ask(other, 1, "acme", route="till-load")
+        ask(other, 1, "acme", route="stock-add")
         await until(lambda: len(hall(rig).where) == 2)
         assert all(room.cell == "a" for room, _ in hall(rig).where.values())
         one.serve(one.words(b"do")[0], one.writer_of(one.words(b"do")[0]))
@@ -179,7 +179,7 @@
     one, two_ = Engine(lambda *_: None), Engine()
     async with pair(two(), one, two_) as rig:
         client = await rig.client()
-        ask(client, 1, "acme", route="till-load")
+        ask(client, 1, "acme", route="stock-add")
         await until(lambda: one.words(b"do"))
         node(rig).celled.moves.propose("acme", "b", rig.node.clock.now())
         await until(lambda: stage(rig) is Stage.DRAINING)
@@ -219,7 +219,7 @@
     async with pair(two(a=("s-1", "s-3")), one, two_, three) as rig:
         rig.node.broker.set_engine("s-3", True)
         client = await rig.client()
-        ask(client, 1, "acme", route="till-load", weight="500")
+        ask(client, 1, "acme", route="stock-add", weight="500")
         await until(lambda: one.words(b"do"))
         node(rig)._take_map(two(2, a=("s-3",), b=("s-1", "s-2")))
         number = rig.node.broker.engines.number("s-1")
@@ -248,16 +248,16 @@
     sent = 0
     for i in range(200):
         moved.next = ("acme", "a")
-        sent += len(moved.pick(now, Query(f"{i}", "lookup", 5 * S, "acme", 200 * MS, 1.0, -1, False)).sends)
+        sent += len(moved.pick(now, Query(f"{i}", "glance", 5 * S, "acme", 200 * MS, 1.0, -1, False)).sends)
     assert sent == 14  # 0.36 x 8 cores x 1.5 s x 2, with a margin of 3
     moved.take(two(2, a=(), b=("s-1",)), now + 10 * MS)
     for i in range(200, 400):
         moved.next = ("beta", "b")
-        orders = moved.pick(now + 10 * MS, Query(f"{i}", "lookup", 5 * S, "beta", 200 * MS, 1.0, -1, False))
+        orders = moved.pick(now + 10 * MS, Query(f"{i}", "glance", 5 * S, "beta", 200 * MS, 1.0, -1, False))
         assert not orders.sends and orders.verdicts[0].refused
     moved.fade(now + 3 * S)  # the window has passed
     moved.next = ("beta", "b")
-    assert moved.pick(now + 3 * S, Query("z", "lookup", 5 * S, "beta", 100 * MS, 1.0, -1, False)).sends
+    assert moved.pick(now + 3 * S, Query("z", "glance", 5 * S, "beta", 100 * MS, 1.0, -1, False)).sends
 
 
 @on_uvloop
@@ -265,7 +265,7 @@
     one, two_ = Engine(), Engine(lambda *_: None)
     async with pair(two(), one, two_) as rig:
         client = await rig.client()
-        ask(client, 1, "beta", route="till-load")
+        ask(client, 1, "beta", route="stock-add")
         await until(lambda: two_.words(b"do"))
         dropped = hall(rig).rooms["b"]
         node(rig)._take_map(CellMap(2, (Cell("a", engines=("s-1", "s-2")),), "a", {}, FAST))
@@ -314,7 +314,7 @@
         pools.ledger.divide(8, broker.shares())
         client, other = await rig.client(), await rig.client()
         for stream in range(1, 17):
-            ask(client, stream, "acme", route="till-load" if stream % 2 else "lookup")
+            ask(client, stream, "acme", route="stock-add" if stream % 2 else "glance")
         await until(lambda: len(one.words(b"do")) == 16)
         pools.count_use()
         assert pools.ledger.accounts["a"].used > 4 and pools.ledger.lent("a")
@@ -325,7 +325,7 @@
         await until(lambda: pools.count_use() or not pools.ledger.due(rig.node.clock.now() + S)
                     or all(any(pools._firm(a.request) for a in c.open.values())
                            for p in pools.by_number.values() if pools.cell(p) == "a" for c in p.connections))
-        loads = [d for d in one.words(b"do") if b"till-load" in d[2]]
+        loads = [d for d in one.words(b"do") if b"stock-add" in d[2]]
         assert len(loads) == len({d[1] for d in loads})  # none ran twice
 
 
@@ -421,9 +421,9 @@
         assert told.settings.kind_cores == rig.node.config.settings.kind_cores
         book = Book("127.0.0.1", rig.port)
         for i in range(120):
-            await book.ask("beta", "lookup", 100, 5_000 * MS)
+            await book.ask("beta", "glance", 100, 5_000 * MS)
             if i % 3 == 0:
-                await book.ask("acme", "lookup", 5, 5_000 * MS)
+                await book.ask("acme", "glance", 5, 5_000 * MS)
             await asyncio.sleep(0.005)
         await book.settle(10)
         assert all(a.code == frames.SERVED for a in book.of("acme"))
@@ -453,7 +453,7 @@
         async def load() -> None:
             for i in range(260):
                 for name in ("acme", "beta"):
-                    route = "till-load" if i % 8 == 0 else "lookup"
+                    route = "stock-add" if i % 8 == 0 else "glance"
                     await book.ask(name, route, 20, 4_000 * MS, threads=2 if i % 8 == 0 else 1)
                 await asyncio.sleep(0.01)
 
@@ -469,7 +469,7 @@
         await playing
         await book.settle(10)
         assert all(a.answers == 1 for a in book.asked) and not book.strays
-        assert not ran_twice(list(world.engines.values()), b"till-load")
+        assert not ran_twice(list(world.engines.values()), b"stock-add")
         assert world.sent_after_drain(S) == 0
         assert stage(rig) in (Stage.DONE, Stage.DRAINING)
         # Successors took the seats of those that they replaced.
@@ -495,7 +495,7 @@
     with socket.create_server(("127.0.0.1", 0)) as held:
         async with beside(made, held, tmp_path, two(2)) as old:
             client = await old.client()
-            ask(client, 1, "acme", route="till-load")
+            ask(client, 1, "acme", route="stock-add")
             await until(lambda: one.words(b"do"))
             node(old).celled.moves.propose("acme", "b", old.node.clock.now())
             await until(lambda: stage(old) is Stage.DRAINING)
@@ -564,7 +564,7 @@
     process = await start()
     try:
         client = await connect(port)
-        ask(client, 1, "acme", route="till-load")
+        ask(client, 1, "acme", route="stock-add")
         await until(lambda: one.words(b"do"))
         assert (await http("POST /cells/move/acme/b"))["stage"] == "proposed"
         while (await http("GET /cells"))["moves"][0]["stage"] != "draining":
@@ -579,7 +579,7 @@
         client = await connect(port)
         shown = await http("GET /cells")
         assert shown["moves"] == [] and {t["tenant"]: t["cell"] for t in shown["tenants"]} == {"beta": "b"}
-        assert len([d for d in one.words(b"do") + two_.words(b"do") if b"till-load" in d[2]]) == 1
+        assert len([d for d in one.words(b"do") + two_.words(b"do") if b"stock-add" in d[2]]) == 1
     finally:
         if process.returncode is None:
             process.kill()
--- a/tests/test_clickhouse_pure.py
+++ b/tests/test_clickhouse_pure.py
@@ -112,8 +112,8 @@
 
 # --- rules ---
 
-CLASSES = {"lookup": 5 * S, "report": 20 * S, "load": 25 * S}
-BY_DOES = {Does.READ: "lookup", Does.WRITE: "load", Does.CHANGE: "load", Does.SESSION: "lookup",
+CLASSES = {"glance": 5 * S, "report": 20 * S, "load": 25 * S}
+BY_DOES = {Does.READ: "glance", Does.WRITE: "load", Does.CHANGE: "load", Does.SESSION: "glance",
            Does.UNKNOWN: "report"}
 
 
@@ -153,7 +153,7 @@
 
 @pytest.mark.parametrize("make", [
     lambda: Rule(user="a"), lambda: Rule(route="x", patience_ms=-1), lambda: Rule(first=("kill",), deny="x"),
-    lambda: Rules(CLASSES, BY_DOES, (Rule(route="nowhere"),)), lambda: Rules(CLASSES, {Does.READ: "lookup"}),
+    lambda: Rules(CLASSES, BY_DOES, (Rule(route="nowhere"),)), lambda: Rules(CLASSES, {Does.READ: "glance"}),
     lambda: Rules({}, BY_DOES)])
 def test_rules_that_cannot_be_name_their_key(make: Any) -> None:
     with pytest.raises(BadRule, match="^[a-z_.]+: "):
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -64,7 +64,7 @@
     ("settings.classes.0.worth", float("nan"), "settings.classes.worth"),
     ("settings.classes.1.effect", "odd", "settings.classes.effect"),
     ("settings.classes", [3], "settings.classes[0]"),
-    ("settings.classes.1.name", "lookup", "settings.classes.name"),
+    ("settings.classes.1.name", "glance", "settings.classes.name"),
     ("settings.contract.start_capacity", 2, "settings.contract.start_capacity"),
     ("settings.policy_limits.cancel", "no", "settings.policy_limits.cancel"),
     ("settings.policy_limits.conn_idle", 0, "settings.policy_limits.conn_idle"),
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -45,7 +45,7 @@
 def asked(stream: int = 1, **fields: str) -> bytes:
     """A request's frame."""
     return frames.frame(frames.REQUEST, stream, frames.write_fields(
-        {"route": "lookup", "trace": f"{stream:016x}", "patience": "4000", "customer": "acme",
+        {"route": "glance", "trace": f"{stream:016x}", "patience": "4000", "customer": "acme",
          "weight": "10.0", **fields}) + STATEMENT)
 
 
@@ -115,7 +115,7 @@
         monkeypatch: pytest.MonkeyPatch) -> None:
     """The shortest deadline there is still leaves the last answers before the SIGKILL."""
     engine = Engine(lambda *_: None)
-    classes = [dict(name="lookup", aim=300 * MS, deadline=700 * MS, worth=1.0, effect="read_like")]
+    classes = [dict(name="glance", aim=300 * MS, deadline=700 * MS, worth=1.0, effect="read_like")]
     async with running(make_config(target("s-1", await engine.start()), classes=classes)) as rig:
         client = await rig.client()
         client.ask(patience="700")
@@ -151,7 +151,7 @@
     async with running(make_config(target("s-1", await engine.start()))) as rig:
         client = await rig.client()
         client.ask(1, trace="1" * 16)
-        client.ask(2, trace="2" * 16, route="till-load")
+        client.ask(2, trace="2" * 16, route="stock-add")
         await until(lambda: len(engine.words(b"do")) == 2)
         client.send(77, 3)
         answers = {(await client.answer())[:2] for _ in range(3)}
@@ -187,10 +187,10 @@
     try:
         await within(asyncio.to_thread(hung_up))
         changed = json.loads(text)
-        changed["settings"]["classes"][0]["name"] = "glance"
+        changed["settings"]["classes"][0]["name"] = "peek"
         client = await within(connect(port))  # it listens: the first reading is over
         await within(asyncio.to_thread(told, json.dumps(changed)))  # it is read again: the signal was kept
-        client.ask(route="glance")
+        client.ask(route="peek")
         assert (await client.answer())[:2] == (1, frames.REFUSED)  # no engine is there; the class is
     finally:
         broker.kill()
@@ -258,7 +258,7 @@
         self.told.put_nowait("failed")
 
 
-def ask_of(route: str = "till-load", trace: str = "a" * 16, nonce: str | None = None) -> Ask:
+def ask_of(route: str = "stock-add", trace: str = "a" * 16, nonce: str | None = None) -> Ask:
     return Ask(route, trace, "acme", 4_000.0, 10.0, 1.0, False, 3, STATEMENT, nonce)
 
 
--- a/tests/test_deadlines_pure.py
+++ b/tests/test_deadlines_pure.py
@@ -211,16 +211,16 @@
 
 def test_a_budget_gives_a_share_of_first_attempts_and_a_burst() -> None:
     budget = Budget(Terms(share=0.2, burst=3.0, classes=(("load", 0.0, 1.0),)))
-    assert [budget.further("lookup", "x") for _ in range(4)] == [True, True, True, False]
-    assert budget.further("lookup", "y")  # another tenant's is its own
+    assert [budget.further("glance", "x") for _ in range(4)] == [True, True, True, False]
+    assert budget.further("glance", "y")  # another tenant's is its own
     for _ in range(5):
-        budget.first("lookup", "x")
-    assert budget.further("lookup", "x") and not budget.further("lookup", "x") and budget.refused == 2
-    budget.back("lookup", "x")  # it never left
-    assert budget.further("lookup", "x")
+        budget.first("glance", "x")
+    assert budget.further("glance", "x") and not budget.further("glance", "x") and budget.refused == 2
+    budget.back("glance", "x")  # it never left
+    assert budget.further("glance", "x")
     assert budget.further("load", "x") and not budget.further("load", "x")
     one = Budget(Terms(burst=1.0, by_tenant=False))
-    assert one.further("lookup", "x") and not one.further("lookup", "y")
+    assert one.further("glance", "x") and not one.further("glance", "y")
 
 
 @given(st.lists(st.booleans(), max_size=300), st.floats(0, 1), st.floats(1, 20))
@@ -228,18 +228,18 @@
     budget, firsts, made = Budget(Terms(share, burst)), 0, 0
     for first in steps:
         if first:
-            budget.first("lookup", "x")
+            budget.first("glance", "x")
             firsts += 1
         else:
-            made += budget.further("lookup", "x")
+            made += budget.further("glance", "x")
         assert made <= burst + share * firsts + 1e-6
 
 
 def test_books_of_many_tenants_are_bounded() -> None:
     budget = Budget(Terms())
     for i in range(3 * further.MOST_KEPT):
-        budget.further("lookup", f"t{i}")
-        budget.first("lookup", f"t{i}")
+        budget.further("glance", f"t{i}")
+        budget.first("glance", f"t{i}")
     assert len(budget.tokens) <= further.MOST_KEPT + 1
 
 
@@ -276,16 +276,16 @@
     for slow in (30 * MS, 500 * MS):
         before = stages.margin
         for i in range(200):
-            stages.add("lookup", Stage.DECIDE, MS, i)
-            stages.add("lookup", Stage.ANSWER, slow, i)
+            stages.add("glance", Stage.DECIDE, MS, i)
+            stages.add("glance", Stage.ANSWER, slow, i)
         assert before < stages.learn(1_000) <= before * 1.25
     for _ in range(50):
         assert 2 * MS <= stages.learn(2_000) <= 40 * MS
     assert stages.margin == 40 * MS
-    assert stages.fastest("lookup", 0) == 0
-    assert MS <= stages.fastest("lookup", 0, Stage.DECIDE, Stage.ENGINE) < 2 * MS
+    assert stages.fastest("glance", 0) == 0
+    assert MS <= stages.fastest("glance", 0, Stage.DECIDE, Stage.ENGINE) < 2 * MS
     text = "\n".join(stages.text("x_"))
-    assert 'x_stage_seconds_bucket{type="lookup",stage="answer",le="+Inf"} 400' in text
+    assert 'x_stage_seconds_bucket{type="glance",stage="answer",le="+Inf"} 400' in text
 
 
 # --- the operators' words, and stories ---
@@ -319,7 +319,7 @@
     log.sink = lines
     tell = stories(log, lines, lambda: 2 * S)
     for i, deadline in enumerate((3 * S, S)):
-        request = OpenRequest(f"{i}", b"%016x" % i, b"lookup", b"", None, 1, deadline, "acme", S, S + MS)
+        request = OpenRequest(f"{i}", b"%016x" % i, b"glance", b"", None, 1, deadline, "acme", S, S + MS)
         attempt = Attempt(request, 0, 7, S + 2 * MS, deadline, deadline, put=S + 2 * MS, gone=S + 3 * MS)
         request.attempts[0] = attempt
         tell(request, "success")
--- a/tests/test_deadlines_sockets.py
+++ b/tests/test_deadlines_sockets.py
@@ -116,7 +116,7 @@
     """A client whose large request is half written before an engine that does not read."""
     rig.node.broker.pools.most = most
     client = await rig.client()
-    client.ask(1, body=LARGE, trace=trace(1), patience="5000", route="till-load", weight="1.0")
+    client.ask(1, body=LARGE, trace=trace(1), patience="5000", route="stock-add", weight="1.0")
     await until(lambda: rig.node.broker.blocked)
     return client
 
@@ -154,8 +154,8 @@
     async with running(make_config(target("s-1", slow.port))) as rig:
         rig.node.broker.pools.most = 1
         client = await rig.client()
-        client.ask(1, body=LARGE, trace=trace(1), patience="300", route="till-load", weight="1.0")
-        client.ask(2, trace=trace(2), patience="300", route="till-load", weight="1.0")
+        client.ask(1, body=LARGE, trace=trace(1), patience="300", route="stock-add", weight="1.0")
+        client.ask(2, trace=trace(2), patience="300", route="stock-add", weight="1.0")
         codes = {}
         for _ in range(2):
             stream, code, _, _ = await client.answer()
@@ -223,7 +223,7 @@
     spare = await other.start()
     async with running(make_config(target("s-1", slow.port))) as rig:
         client = await jammed(rig)
-        client.ask(2, trace=trace(2), route="till-load", weight="1.0")
+        client.ask(2, trace=trace(2), route="stock-add", weight="1.0")
         await until(lambda: held(rig)[0].outbox.keyed)
         rig.node.broker.pools.most = 8
         rig.node.broker.news(parse_event(event(2, target("s-2", spare))))
@@ -313,7 +313,7 @@
     engine = Engine(lambda *_: None)
     async with running(make_config(target("s-1", await engine.start()), policy_limits=CANCEL)) as rig:
         client = await rig.client()
-        client.ask(1, patience="300" if end == "deadline" else "4000", route="till-load", weight="1.0")
+        client.ask(1, patience="300" if end == "deadline" else "4000", route="stock-add", weight="1.0")
         await until(lambda: engine.words(b"do"))
         if end == "left":
             client.send(frames.ABANDON, 1)
@@ -366,7 +366,7 @@
     engine = Engine(lambda *_: None)
     async with running(make_config(target("s-1", await engine.start()))) as rig:
         client = await rig.client()
-        client.ask(1, patience="300", route="till-load", weight="1.0")
+        client.ask(1, patience="300", route="stock-add", weight="1.0")
         assert (await client.answer())[:2] == (1, frames.FAILED)
         await until(lambda: not rig.node.broker.requests)
         engine.serve(engine.words(b"do")[0], engine.writers[0])
@@ -398,7 +398,7 @@
     spare = await other.start()
     async with running(make_config(target("s-1", slow.port))) as rig:
         client = await jammed(rig)
-        client.ask(2, trace=trace(2), route="till-load", weight="1.0")
+        client.ask(2, trace=trace(2), route="stock-add", weight="1.0")
         await until(lambda: held(rig)[0].outbox.keyed)
         rig.node.broker.pools.most = 8
         rig.node.broker.news(parse_event(event(2, target("s-2", spare))))
@@ -418,7 +418,7 @@
     spare = await other.start()
     async with running(make_config(target("s-1", slow.port))) as rig:
         client = await jammed(rig)
-        client.ask(2, trace=trace(2), route="till-load", weight="1.0")
+        client.ask(2, trace=trace(2), route="stock-add", weight="1.0")
         await until(lambda: held(rig)[0].outbox.keyed)
         rig.node.broker.news(parse_event(event(2, target("s-2", spare))))
         rig.node.broker.close_out_all()
@@ -437,7 +437,7 @@
     with socket.create_server(("127.0.0.1", 0)) as listening:
         async with beside(made, listening, tmp_path) as old:
             client = await jammed(old)
-            client.ask(2, trace=trace(2), patience="900", route="till-load", weight="200")
+            client.ask(2, trace=trace(2), patience="900", route="stock-add", weight="200")
             await until(lambda: held(old)[0].outbox.keyed)
             async with beside(made, listening, tmp_path) as new:
                 await meet(old, new)
@@ -526,7 +526,7 @@
             assert (await client.answer())[1] == frames.SERVED
         text = (await call(rig, b"GET /metrics HTTP/1.1\r\n\r\n"))[2]
         for stage in ("read", "decide", "connect", "write", "engine", "answer"):
-            assert f'larchhall_stage_seconds_count{{type="lookup",stage="{stage}"}} 80' in text
+            assert f'larchhall_stage_seconds_count{{type="glance",stage="{stage}"}} 80' in text
         assert "larchhall_margin_seconds 0.01" in text and "larchhall_undone_total 0" in text
         rig.node.broker.stages.learn(rig.node.broker.now())  # type: ignore[union-attr]
         assert rig.node.broker.stages.margin < 10 * MS  # type: ignore[union-attr]
@@ -541,7 +541,7 @@
     for terms in (Deadlines(count_from="first"), Deadlines(count_from="last")):
         async with running(made, make=filed(deadlines=terms)) as rig:
             client = await rig.client()
-            fields = {"route": "lookup", "trace": trace(7), "patience": "3000", "customer": "acme",
+            fields = {"route": "glance", "trace": trace(7), "patience": "3000", "customer": "acme",
                       "weight": "1.0"}
             whole = frames.frame(frames.REQUEST, 1, frames.write_fields(fields) + b"SELECT 1")
             client.writer.write(whole[:30])
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -156,7 +156,7 @@
     async with running(parse(raw, {})) as rig:
         book = Book("127.0.0.1", rig.port)
         for i in range(200):
-            route, rows = ("load", 1) if i % 4 == 0 else ("lookup", 900)
+            route, rows = ("load", 1) if i % 4 == 0 else ("glance", 900)
             await book.ask("", route, 20, 4_000 * MS, rows=rows, nonce=f"{i:032x}" if route == "load" else "")
             if i == 60:
                 world.end("s-1")
@@ -346,7 +346,7 @@
 
 
 @pytest.mark.parametrize("name", ALL)
-@pytest.mark.parametrize("route", ["lookup", "load"])
+@pytest.mark.parametrize("route", ["glance", "load"])
 def test_no_order_of_events_breaks_a_rule(name: str, route: str, monkeypatch: pytest.MonkeyPatch) -> None:
     facts = ALL[name]
     limits = facts["policy_limits"]
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -53,7 +53,7 @@
 
 
 def frame_of(client: Client, stream: int, tenant: str | None) -> bytes:
-    fields = {"route": "lookup", "trace": os.urandom(8).hex(), "patience": "4000", "weight": "1.0"}
+    fields = {"route": "glance", "trace": os.urandom(8).hex(), "patience": "4000", "weight": "1.0"}
     payload = frames.write_fields({**fields, **({"customer": tenant} if tenant else {})})
     return frames.frame(frames.REQUEST, stream, payload + b"SELECT 1 FROM sales_1.orders")
 
@@ -74,7 +74,7 @@
         async def pipeline(stopped: asyncio.Event) -> None:
             while not stopped.is_set():
                 for _ in range(8):
-                    await book.ask(tenant or "", "lookup", 2, 4_000 * MS)
+                    await book.ask(tenant or "", "glance", 2, 4_000 * MS)
                 await asyncio.sleep(0.02)
 
         async def come_late(stopped: asyncio.Event) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,7 +15,7 @@
 
 FLEET, CORES = 40, 8
 CONTRACT = api.Contract(drain_grace=S, cold_from=0.36, cold=12 * S, fall=1_500 * MS, fall_multiple=2.0)
-CLASSES = (query_class("lookup", aim=S, deadline=5 * S),
+CLASSES = (query_class("glance", aim=S, deadline=5 * S),
            query_class("report", aim=1_500 * MS, deadline=20 * S, worth=10.0, threads=4))
 
 
@@ -54,7 +54,7 @@
             if told[me]:
                 h.do(news)
                 told[me] = 0
-            name, work = ("report", 2 * S) if draw.random() < 0.2 else ("lookup", 200 * MS)
+            name, work = ("report", 2 * S) if draw.random() < 0.2 else ("glance", 200 * MS)
             work = int(work * draw.uniform(0.5, 1.5))
             h.arrive(f"r{step}", name, estimate=work)
             for send in h.sends(f"r{step}"):
@@ -159,7 +159,7 @@
         for other in request.engines.values():
             other.entry = entry(other.entry.engine, state=api.EngineState.READY
                                 if other.entry.engine == engine else api.EngineState.DRAINING)
-        h.arrive(name, "lookup", estimate=MS)
+        h.arrive(name, "glance", estimate=MS)
         for other in request.engines.values():
             other.entry = entry(other.entry.engine)
         assert h.sends(name)[0].engine == engine
@@ -181,7 +181,7 @@
     """Danger: one client's statements would take out every engine."""
     h = gateways(uids(30), limits=PROBES)[0]
     for i in range(40):
-        h.arrive(f"bad{i}", "lookup", estimate=MS)
+        h.arrive(f"bad{i}", "glance", estimate=MS)
         while not h.answers(f"bad{i}"):
             h.end(f"bad{i}", api.Result.ERROR)
     assert not any(e.suspect for e in h.controller.engines.values())
@@ -197,7 +197,7 @@
     engine = h.controller.near[0]
     h.controller._suspect(h.now, engine, True)
     for step in range(300):
-        h.arrive(f"r{step}", "lookup", estimate=MS)
+        h.arrive(f"r{step}", "glance", estimate=MS)
         assert all(s.engine != engine.entry.engine for s in h.sends(f"r{step}"))
         h.end(f"r{step}", api.Result.SERVED, latency=MS)
         before = len(probes_of(h))
@@ -227,7 +227,7 @@
     h.controller._suspect(h.now, engine, True)
     h.pass_time(9 * S)
     for i in range(60):
-        h.arrive(f"r{i}", "lookup", estimate=MS)
+        h.arrive(f"r{i}", "glance", estimate=MS)
         h.end(f"r{i}", api.Result.SERVED, latency=MS)
     assert not probes_of(h) and not engine.suspect
 
@@ -243,7 +243,7 @@
         h.pass_time(50 * MS)
     engine = next(e for e in gateway.cold if gateway._our_turn(h.now, e))
     for i in range(60):
-        h.arrive(f"r{i}", "lookup", estimate=200 * MS)
+        h.arrive(f"r{i}", "glance", estimate=200 * MS)
     assert engine.thread_share < engine.threads_out <= 2 * CORES
 
 
@@ -269,7 +269,7 @@
     ends: dict[tuple[str, int], tuple[int, api.Result]] = {}
     for step in range(420):
         if step < 380:
-            kinds[f"r{step}"] = draw.choice(["lookup", "lookup", "report", "load"])
+            kinds[f"r{step}"] = draw.choice(["glance", "glance", "report", "load"])
             h.arrive(f"r{step}", kinds[f"r{step}"], patience=5 * S, estimate=300 * MS)
         for name in kinds:
             for number, send in enumerate(h.sends(name)):
@@ -305,7 +305,7 @@
     h.pass_time(2 * S)
     went = h.sends("open")[0].engine
     for i in range(50):
-        h.arrive(f"r{i}", "lookup", estimate=MS)
+        h.arrive(f"r{i}", "glance", estimate=MS)
         assert all(s.engine != went or went in uids(count, seed=8) for s in h.sends(f"r{i}"))
         assert h.sends(f"r{i}") or isinstance(h.answers(f"r{i}")[0], api.Refuse)
     h.end("open", api.Result.SERVED)
@@ -329,8 +329,8 @@
     h = gateways(uids(30), tenants=(api.Tenant("acme", 0.0),))[0]
     h.controller.pool.full_until, h.controller.pool.bound = h.now + 99 * S, 0.0
     for i in range(30):
-        h.arrive(f"r{i}", "lookup", estimate=200 * MS, tenant="acme")
-    assert any(h.answers(f"r{i}") for i in range(30)) and h.controller.views["lookup"].admitted == 1.0
+        h.arrive(f"r{i}", "glance", estimate=200 * MS, tenant="acme")
+    assert any(h.answers(f"r{i}") for i in range(30)) and h.controller.views["glance"].admitted == 1.0
 
 
 def test_engines_with_full_tables_are_asked_seldom_while_others_have_places() -> None:
@@ -339,7 +339,7 @@
     h, full, asked = gateways(engines, limits=PROBES)[0], set(engines[::2]), 0
     for i in range(100):
         name = f"r{i}"
-        h.arrive(name, "lookup", estimate=MS)
+        h.arrive(name, "glance", estimate=MS)
         while h.sends(name)[-1].engine in full:
             asked += 1
             h.end(name, api.Result.CONNECT_FAILED)
@@ -351,7 +351,7 @@
 def test_a_full_engine_is_held_out_and_asked_before_it_gets_more() -> None:
     """Danger: 50 brokers that each have nothing out there send one query each, again and again."""
     h = gateways(uids(80), 200, limits=PROBES)[0]
-    h.arrive("r0", "lookup", estimate=MS)
+    h.arrive("r0", "glance", estimate=MS)
     engine = h.controller.engines[h.sends("r0")[0].engine]
     h.end("r0", api.Result.FULL)
     assert engine.suspect and h.sends("r0")[-1].engine != engine.entry.engine
@@ -376,7 +376,7 @@
 
 def test_an_answer_that_was_late_does_not_clear_a_jammed_engine() -> None:
     h = gateways(uids(80), 200, limits=PROBES)[0]
-    h.arrive("r0", "lookup", patience=20 * S, estimate=100 * MS)
+    h.arrive("r0", "glance", patience=20 * S, estimate=100 * MS)
     engine = h.controller.engines[h.sends("r0")[0].engine]
     h.do(api.ProbeResult(engine.entry.engine, api.Result.SERVED, MS, api.LoadReport(inflight=30.0)))
     h.pass_time(250 * MS)
@@ -429,7 +429,7 @@
         for me, h in enumerate(fleet):
             h.pass_time(now - h.now)
             if draw.random() < 0.25:
-                name, work = ("report", 2 * S) if draw.random() < 0.15 else ("lookup", 200 * MS)
+                name, work = ("report", 2 * S) if draw.random() < 0.15 else ("glance", 200 * MS)
                 h.arrive(f"{step}", name, patience=20 * S, estimate=int(work * draw.uniform(0.5, 1.5)))
             for _, action in h.log[read[me]:]:
                 if isinstance(action, api.Send):
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -130,7 +130,7 @@
     engine = Engine(lambda *_: None)
     async with running(make_config(target("s-1", await engine.start()))) as rig:
         client = await rig.client()
-        client.ask(stream=1, route="till-load", patience="20000", trace="1" * 16)
+        client.ask(stream=1, route="stock-add", patience="20000", trace="1" * 16)
         client.ask(stream=2, trace="2" * 16)
         await until(lambda: len(engine.words(b"do")) == 2)
         drain = Drain(rig.node)
@@ -150,7 +150,7 @@
     async with running(make_config(target("s-1", await engine.start()))) as rig:
         client = await rig.client()
         frame = frames.frame(frames.REQUEST, 1, frames.write_fields(
-            {"route": "lookup", "trace": "1" * 16, "patience": "4000", "customer": "acme"}) + b"SELECT 1")
+            {"route": "glance", "trace": "1" * 16, "patience": "4000", "customer": "acme"}) + b"SELECT 1")
         client.writer.write(frame[:9])
         await until(lambda: rig.node.partial)
         drain = Drain(rig.node)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -52,3 +52,39 @@
         assert leaves, f"a circle among {sorted(graph)}"
         for name in leaves:
             del graph[name]
+
+
+#: Of the deployments that the project is run at, and of the made-up ones under `deploy/sites`.
+SITES = {"mombasa", "pwani", "ferry", "atlanta", "piedmont", "warehouse", "marietta"}
+TENANTS = {"likoni-crossings", "lamu-island-boats", "kilifi-creek-ferries", "vanga-coast-boats", "likoni",
+           "kilifi"}
+CLASSES = {"lookup", "report", "till-load", "load"}
+#: Words of the settings, of cells and of the command line that are spelled like a class.
+OTHER_WORDS = {"larchhall/config.py": {"report"}, "larchhall/benchlink.py": {"report"},
+               "larchhall/cells_cli.py": {"load"}, "larchhall/rooms/node.py": {"load"},
+               "larchhall/cells/plan.py": {"load"}}
+
+
+def named(path: Path) -> set[str]:
+    """Names of customers in a file: of sites and tenants anywhere, of classes as whole texts."""
+    text = path.read_text(encoding="utf-8")
+    sites = (ROOT / "deploy" / "sites").glob("*-?.toml")
+    made_up = [tomllib.loads(p.read_text(encoding="utf-8")) for p in sites]
+    assert len(made_up) == 2
+    anywhere = SITES | TENANTS | {site["name"] for site in made_up}
+    whole = CLASSES | {part["name"] for site in made_up for key in ("class", "tenant") for part in site[key]}
+    found = {word for word in anywhere if re.search(rf"\b{word}\b", text, re.I)}
+    return found | (whole & set(re.findall(r"""["']([\w-]+)["']""", text)))
+
+
+def test_no_name_of_a_customer_stands_in_the_program() -> None:
+    """Danger: what goes by the name of a class, a tenant or a site serves one deployment alone."""
+    for path in [ROOT / "deploy" / "balancer.toml", *(ROOT / "larchhall").rglob("*.py")]:
+        name = path.relative_to(ROOT).as_posix()
+        assert named(path) <= OTHER_WORDS.get(name, set()), f"{name}: {named(path)}"
+
+
+def test_the_search_for_names_finds_them(tmp_path: Path) -> None:
+    for text in ("if route == 'till-load':", 'x = "weigh-in"', "# as at Pwani", 'T = "north-basin"'):
+        (tmp_path / "x.py").write_text(text)
+        assert named(tmp_path / "x.py"), text
--- a/tests/test_members_broker.py
+++ b/tests/test_members_broker.py
@@ -19,7 +19,7 @@
 
 S = 1_000 * MS
 BROKERS = 10
-CLASSES = (RequestClass("lookup", S, 5 * S, 1.0), RequestClass("report", 3 * S // 2, 20 * S, 10.0, threads=4))
+CLASSES = (RequestClass("glance", S, 5 * S, 1.0), RequestClass("report", 3 * S // 2, 20 * S, 10.0, threads=4))
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -53,7 +53,7 @@
         sim.at(sim.now + int(sim.draw.expovariate(1) * 8 * MS), arrive)
         wide = sim.draw.random() < 0.1
         work = sim.draw.uniform(0.5, 1.5) * (4 * S if wide else S // 5)
-        sim.draw.choice(brokers).ask(str(next(count)), "report" if wide else "lookup", work, 4 if wide else 1,
+        sim.draw.choice(brokers).ask(str(next(count)), "report" if wide else "glance", work, 4 if wide else 1,
                                      (20 if wide else 5) * S)
 
     arrive()
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -99,7 +99,7 @@
     async with running(make_config(target("s-1", await engine.start()), target("s-2", 9, "terminating"),
                                    operator=True)) as rig:
         told = await figures(rig)
-        assert told['replies_total{type="till-load",status="overload"}'] == 0
+        assert told['replies_total{type="stock-add",status="overload"}'] == 0
         assert (told["dispatches_total"], told["concurrent"], told["targets"]) == (0, 0, 2)
         client = await rig.client()
         client.ask(stream=1)
@@ -107,14 +107,14 @@
         client.ask(stream=2, trace="2" * 16, customer="nobody")
         assert (await client.answer())[1] == frames.FAILED
         engine.script = lambda *_: None
-        client.ask(stream=3, trace="3" * 16, route="till-load")
+        client.ask(stream=3, trace="3" * 16, route="stock-add")
         await until(lambda: len(engine.words(b"do")) == 2)
         told = await figures(rig)
-        assert told['replies_total{type="lookup",status="success"}'] == 1
-        assert told['replies_total{type="lookup",status="error"}'] == 1
+        assert told['replies_total{type="glance",status="success"}'] == 1
+        assert told['replies_total{type="glance",status="error"}'] == 1
         assert (told["dispatches_total"], told["concurrent"], told["targets_disabled"]) == (2, 1, 0)
         client.send(frames.ABANDON, 3)  # ended, with its attempt still out
-        client.ask(stream=4, trace="4" * 16, route="till-load")
+        client.ask(stream=4, trace="4" * 16, route="stock-add")
         await until(lambda: len(engine.words(b"do")) == 3)
         assert (await figures(rig))["concurrent"] == 1
         assert await set_engine(rig, "disable") == 200
@@ -122,7 +122,7 @@
         stream, code, fields, _ = await client.answer()
         assert (stream, code) == (5, frames.REFUSED) and int(fields["pause"]) > 0
         told = await figures(rig)
-        assert (told["targets_disabled"], told['replies_total{type="lookup",status="overload"}']) == (1, 1)
+        assert (told["targets_disabled"], told['replies_total{type="glance",status="overload"}']) == (1, 1)
 
 
 def test_the_text_has_help_and_type_and_its_labels_are_escaped() -> None:
@@ -188,7 +188,7 @@
         client = await rig.client()
         pool = next(p for p in rig.node.broker.pools.by_number.values() if p.target.uid == "s-1")
         pool._open = lambda: None  # type: ignore[method-assign]  # its connection never comes up
-        client.ask(route="till-load")
+        client.ask(route="stock-add")
         await until(lambda: pool.waiting)
         assert await set_engine(rig, "disable") == 200
         assert (await client.answer())[1] == frames.REFUSED
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -53,7 +53,7 @@
     assert said is not None and [c.name for c in said.cells] == ["counters", "finance", "spare-0", "spare-1"]
     assert said.home("kilifi-creek-ferries") == "finance" and said.home("nobody") == "counters"
     assert said.timing == Timing() and said.epoch == 1
-    assert {said.home(said.subject("lamu-island-boats", "lookup", d)) for d in range(50)} == {
+    assert {said.home(said.subject("lamu-island-boats", "glance", d)) for d in range(50)} == {
         "counters", "finance"}
 
 
@@ -123,7 +123,7 @@
     done = subprocess.run([sys.executable, "-m", "larchhall", "demo", "--seconds", "1"], cwd=ROOT,
                           capture_output=True, text=True, check=False, env={**os.environ})
     assert done.returncode == 0, done.stderr
-    assert "likoni" in done.stdout and "exactly one answer: yes" in done.stdout
+    assert "harbour" in done.stdout and "exactly one answer: yes" in done.stdout
 
 
 def problem(folder: Path, **more: object) -> str:
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -78,8 +78,8 @@
 def test_classes_may_come_and_go_and_a_known_list_is_the_start_s_alone(tmp_path: Path) -> None:
     raw = copy.deepcopy(FILE)
     del raw["known"]
-    raw["settings"]["classes"] = [{**raw["settings"]["classes"][1], "name": "till-load_b"}]
-    assert [c.name for c in read_again(tmp_path, json.dumps(raw)).settings.classes] == ["till-load_b"]
+    raw["settings"]["classes"] = [{**raw["settings"]["classes"][1], "name": "stock-add_b"}]
+    assert [c.name for c in read_again(tmp_path, json.dumps(raw)).settings.classes] == ["stock-add_b"]
 
 
 @on_uvloop
@@ -104,7 +104,7 @@
         assert "reload: done; with the next start only: listen, operator, seed" in rig.logged
         for number in (0, -5):  # whole: nothing of it is taken, neither its classes nor its bus
             bad = changed("settings.classes.1.deadline", number)
-            bad["settings"]["classes"][0]["name"] = "lookup-x"
+            bad["settings"]["classes"][0]["name"] = "glance-x"
             await ask(rig, {**bad, "bus": "127.0.0.1:9"}, "settings.classes.deadline: must be above 0")
         client.ask(stream=2, trace="2" * 16, route="night")
         client.ask(stream=3, trace="3" * 16)
@@ -119,7 +119,7 @@
         await ask(rig, changed("settings.classes.0.name", "other"), "reload: done")
         client.ask(stream=4, trace="4" * 16)
         assert (await client.answer())[1] == frames.FAILED  # its class has gone
-        assert (await figures(rig))['replies_total{type="lookup",status="overload"}'] == 1
+        assert (await figures(rig))['replies_total{type="glance",status="overload"}'] == 1
 
 
 # --- the module ---
--- a/tests/test_shares_processes.py
+++ b/tests/test_shares_processes.py
@@ -96,7 +96,7 @@
 async def asks(made: Peers, number: int, rate: float, stop: asyncio.Event) -> Book:
     book = Book("127.0.0.1", made.fleet.members[number].port)
     while not stop.is_set():
-        await book.ask("acme", "lookup", 1, 4_000 * MS)
+        await book.ask("acme", "glance", 1, 4_000 * MS)
         await asyncio.sleep(1 / rate)
     await book.settle(HANG)
     return book
@@ -224,7 +224,7 @@
         seen = len(bad.words(b"do"))
         book = Book("127.0.0.1", made.fleet.members[3].port)
         for _ in range(30):
-            await book.ask("acme", "lookup", 1, 4_000 * MS)
+            await book.ask("acme", "glance", 1, 4_000 * MS)
             await asyncio.sleep(0.02)
         await book.settle(HANG)
         assert {a.code for a in book.asked} == {0} and len(bad.words(b"do")) == seen
--- a/tests/test_sockets_client.py
+++ b/tests/test_sockets_client.py
@@ -35,7 +35,7 @@
         do = engine.words(b"do")[0]
         fields = resp.read_pairs(do[2])
         assert (do[1], do[3]) == (TRACE.encode(), b"SELECT 1 FROM sales_17.orders")
-        assert fields["cls"] == "lookup" and 3_000 < int(fields["limit"]) <= 4_000
+        assert fields["cls"] == "glance" and 3_000 < int(fields["limit"]) <= 4_000
         assert fields["reserve"] == "20" and 0 <= int(fields["level"]) <= 3
 
 
@@ -44,7 +44,7 @@
     engine = pages(b"1\ta\tb\n", say=2)
     async with running(make_config(target("s-1", await engine.start()))) as rig:
         client = await rig.client()
-        client.ask(route="till-load")
+        client.ask(route="stock-add")
         assert (await client.answer())[1] == frames.FAILED
         assert len(engine.words(b"do")) == 1
 
@@ -108,7 +108,7 @@
             client.ask(stream=stream, weight="900.0")
             assert (await client.answer())[:2] == (stream, frames.FAILED)
         for stream, changes in enumerate(({"body": b"SELECT 2 FROM sales_17.orders"},
-                                          {"route": "till-load"}), 1):
+                                          {"route": "stock-add"}), 1):
             other.ask(stream=stream, **changes)  # type: ignore[arg-type]
             assert (await other.answer())[:2] == (stream, frames.FAILED)
         assert len(engine.words(b"do")) == 1
@@ -162,7 +162,7 @@
 async def test_with_no_engine_the_refusal_comes_at_once_and_carries_a_pause() -> None:
     async with running(make_config()) as rig:
         client = await rig.client()
-        client.ask(route="till-load", patience="20000")
+        client.ask(route="stock-add", patience="20000")
         stream, code, fields, body = await client.answer()
         assert (stream, code, body) == (1, frames.REFUSED, b"") and int(fields["pause"]) > 0
 
--- a/tests/test_sockets_engine.py
+++ b/tests/test_sockets_engine.py
@@ -61,7 +61,7 @@
 async def test_a_refused_connect_never_ran_so_even_a_load_is_refused() -> None:
     async with running(make_config(target("s-1", closed_port()))) as rig:
         client = await rig.client()
-        client.ask(route="till-load", patience="20000")
+        client.ask(route="stock-add", patience="20000")
         assert (await client.answer())[1] == frames.REFUSED
 
 
@@ -72,7 +72,7 @@
     async with running(config) as rig:
         client = await rig.client()
         for stream in range(1, 9):
-            client.ask(stream=stream, route="till-load", patience="20000", trace=f"{stream:016x}")
+            client.ask(stream=stream, route="stock-add", patience="20000", trace=f"{stream:016x}")
             assert (await client.answer())[:2] == (stream, frames.SERVED)
 
 
@@ -82,7 +82,7 @@
         engine = always(word)
         async with running(make_config(target("s-1", await engine.start()))) as rig:
             client = await rig.client()
-            client.ask(route="till-load", patience="20000")
+            client.ask(route="stock-add", patience="20000")
             assert (await client.answer())[1] == frames.REFUSED, word
 
 
@@ -99,7 +99,7 @@
         other = Engine()
         async with running(make_config(target("s-1", await engine.start()))) as rig:
             client = await rig.client()
-            client.ask(route="till-load", patience="20000")
+            client.ask(route="stock-add", patience="20000")
             assert (await client.answer())[1] == frames.FAILED
             assert len(engine.words(b"do")) == 1 and not other.seen
 
@@ -150,7 +150,7 @@
         [first] = pool.connections
         for trace, same in ((b"9" * 16, True), (TRACE.encode(), False)):
             end = broker.now() + 9_000 * MS
-            request = OpenRequest("9", trace, b"lookup", STATEMENT, Waiter(), 1, end)
+            request = OpenRequest("9", trace, b"glance", STATEMENT, Waiter(), 1, end)
             attempt = Attempt(request, 1, pool.number, broker.now(), request.deadline,
                               request.deadline)
             pool.send(attempt, broker.now())
@@ -178,7 +178,7 @@
                          classes=slow)
     async with running(config) as rig:
         client = await rig.client()
-        client.ask(stream=1, route="till-load", patience="20000", trace="1" * 16, weight="1.0")
+        client.ask(stream=1, route="stock-add", patience="20000", trace="1" * 16, weight="1.0")
         await until(lambda: len(asked) == 1)
         client.ask(stream=2, patience="4000")
         assert (await client.answer())[:2] == (2, frames.SERVED)  # tried again, well before its time is up
@@ -199,7 +199,7 @@
     async with running(make_config(target("s-1", await engine.start()), charges=charges)) as rig:
         client = await rig.client()
         for stream in (1, 2, 3):
-            client.ask(stream, route="till-load", trace=f"{stream}" * 16, patience="20000", weight="1.0")
+            client.ask(stream, route="stock-add", trace=f"{stream}" * 16, patience="20000", weight="1.0")
             await until(lambda: len(engine.words(b"do")) == stream)  # noqa: B023
         pool = next(iter(rig.node.broker.pools.by_number.values()))
         assert len(pool.connections) == connections
@@ -291,7 +291,7 @@
     async with running(make_config(target("s-1", await engine.start()))) as rig:
         rig.node.broker.pools.most = -1
         client = await rig.client()
-        client.ask(route="till-load", patience="20000")
+        client.ask(route="stock-add", patience="20000")
         assert (await client.answer())[1] == frames.REFUSED
         assert not engine.seen
         assert not any(e.suspect for e in rig.node.broker.facade.controller.engines.values())
@@ -339,7 +339,7 @@
     port = await engine.start()
     async with running(make_config(target("s-1", port))) as rig:
         client, broker = await rig.client(), rig.node.broker
-        client.ask(route="till-load", patience="20000")
+        client.ask(route="stock-add", patience="20000")
         await until(lambda: engine.words(b"do"))
         pool = next(iter(broker.pools.by_number.values()))
         pool.sweep(broker.now() + 2 * pools.GONE_SILENT)
@@ -366,7 +366,7 @@
     engine = Engine(script)
     async with running(make_config(target("s-1", await engine.start()))) as rig:
         client = await rig.client()
-        client.ask(route="till-load", patience="20000")
+        client.ask(route="stock-add", patience="20000")
         assert await client.answer() == (1, frames.SERVED, {}, b"1\ta\tb\n")
         await until(lambda: not any(p.connections for p in rig.node.broker.pools.by_number.values()))
 
@@ -410,7 +410,7 @@
     port = await engine.start()
     async with running(make_config(target("s-1", port))) as rig:
         client = Waiter()
-        rig.node.broker.submit(client, 1, Ask("till-load", TRACE, "acme", 20_000, 10, 16, False, 17, b"x"))
+        rig.node.broker.submit(client, 1, Ask("stock-add", TRACE, "acme", 20_000, 10, 16, False, 17, b"x"))
         # In the same turn of the loop, so that its connect is under way.
         rig.node.broker.news(parse_event(event(2, target("s-2", port, "terminating"))))
         await until(lambda: client.answers)
@@ -425,7 +425,7 @@
         broker.pools.most = 1  # so that both share a connection
         client.ask(stream=1, patience="200", weight="100.0")
         assert (await client.answer())[1] == frames.REFUSED
-        client.ask(stream=2, patience="20000", route="till-load", trace="2" * 16)
+        client.ask(stream=2, patience="20000", route="stock-add", trace="2" * 16)
         await until(lambda: len(engine.words(b"do")) == 2)
         pool = next(iter(broker.pools.by_number.values()))
         old = pool.connections[0]
@@ -468,7 +468,7 @@
     async with running(config) as rig:
         client = await rig.client()
         for stream in range(1, 11):
-            client.ask(stream, trace=f"{stream:016x}", route="till-load" if stream % 2 else "lookup")
+            client.ask(stream, trace=f"{stream:016x}", route="stock-add" if stream % 2 else "glance")
             code, fields = (await client.answer())[1:3]
             assert code == frames.REFUSED and int(fields["pause"]) > 0
 
--- a/tests/test_start_processes.py
+++ b/tests/test_start_processes.py
@@ -95,7 +95,7 @@
             assert "still asking, not ready" in member.log()
         book = Book("127.0.0.1", brokers.members[0].port)
         for _ in range(20):
-            await book.ask("", "lookup", 2, 4_000 * MS)
+            await book.ask("", "glance", 2, 4_000 * MS)
         await book.settle(HANG)
         assert [a.code for a in book.asked] == [frames.SERVED] * 20
         book.close()
@@ -157,7 +157,7 @@
         member.signal(signal.SIGHUP)  # danger: the settings as they are in the file would let unsafe work go
         await until(lambda: "reload: done" in member.log())
         book = Book("127.0.0.1", member.port)
-        safe, unsafe = [await book.ask("", route, 2, 4_000 * MS) for route in ("lookup", "load")]
+        safe, unsafe = [await book.ask("", route, 2, 4_000 * MS) for route in ("glance", "load")]
         await book.settle(HANG)
         assert (safe.code, unsafe.code) == (frames.SERVED, frames.REFUSED) and unsafe.pause >= 0
         await status(member, lambda said: said["confirmed"])
@@ -265,7 +265,7 @@
             member.start()
         paused = brokers.members[3]
         held = Book("127.0.0.1", paused.port)
-        in_hand = [await held.ask("", "lookup", work, 1_500 * MS) for work in (500, 1_000, 60_000)]
+        in_hand = [await held.ask("", "glance", work, 1_500 * MS) for work in (500, 1_000, 60_000)]
         await until(lambda: sum(len(e.machine.running) for e in world.engines.values()) >= 1)
         paused.signal(signal.SIGSTOP)
         world.drain("s-3")  # it sleeps over this
@@ -279,7 +279,7 @@
             assert said["share"] == 1.0
         book = Book("127.0.0.1", paused.port)
         for _ in range(30):
-            await book.ask("", "lookup", 2, 4_000 * MS)
+            await book.ask("", "glance", 2, 4_000 * MS)
         await book.settle(HANG)
         assert [a.code for a in book.asked] == [frames.SERVED] * 30
         assert world.sent_after_drain(550 * MS) == 0
@@ -361,7 +361,7 @@
         books = [Book("127.0.0.1", member.port) for _ in range(30)]
         begun = time.monotonic()
         for book in books:
-            await book.ask("", "lookup", 1, 8_000 * MS)
+            await book.ask("", "glance", 1, 8_000 * MS)
         for book in books:
             await book.settle(HANG)
         assert all(a.answers == 1 for book in books for a in book.asked)
@@ -389,7 +389,7 @@
         book = Book("127.0.0.1", member.port)
         for part in range(2):
             for i in range(20):
-                await book.ask(("acme", "other")[i % 2], "lookup", 2, 4_000 * MS)
+                await book.ask(("acme", "other")[i % 2], "glance", 2, 4_000 * MS)
             await book.settle(HANG)
             if part == 0:  # what does not fit while it ramps is refused at once
                 assert {a.code for a in book.asked} <= {frames.SERVED, frames.REFUSED}
@@ -446,7 +446,7 @@
             books.append(Book("127.0.0.1", member.port))
         for _ in range(40):
             for book in books:
-                await book.ask("", "lookup", 200, 4_000 * MS)
+                await book.ask("", "glance", 200, 4_000 * MS)
             await asyncio.sleep(0.05)
         for book in books:
             await book.settle(HANG)
--- a/tests/test_wire_tables.py
+++ b/tests/test_wire_tables.py
@@ -16,7 +16,7 @@
 
 from .sockets import TRACE, event, target
 
-FIELDS = frames.write_fields({"route": "lookup", "trace": "9b"})
+FIELDS = frames.write_fields({"route": "glance", "trace": "9b"})
 
 
 def feed(parser: Any, data: bytes, into: list[Any]) -> None:
@@ -56,7 +56,7 @@
 
 
 @pytest.mark.parametrize(("payload", "fields", "body"), [
-    (b"\0", {}, b""), (b"\0rest", {}, b"rest"), (FIELDS + b"x", {"route": "lookup", "trace": "9b"}, b"x")])
+    (b"\0", {}, b""), (b"\0rest", {}, b"rest"), (FIELDS + b"x", {"route": "glance", "trace": "9b"}, b"x")])
 def test_fields(payload: bytes, fields: dict[str, str], body: bytes) -> None:
     assert frames.read_fields(payload) == (fields, body)
 
@@ -74,7 +74,7 @@
     {"patience": "soon"}, {"patience": "nan"}, {"patience": "-1"}, {"patience": "inf"}, {"weight": "much"},
     {"weight": "-3"}, {"ram": "1e999"}, {"redo": "yes"}])
 def test_unusable_requests(changes: dict[str, str | None]) -> None:
-    base = {"route": "lookup", "trace": TRACE, "patience": "1500", "weight": "8.5", "ram": "96", **changes}
+    base = {"route": "glance", "trace": TRACE, "patience": "1500", "weight": "8.5", "ram": "96", **changes}
     with pytest.raises(Exception) as caught:
         read_ask(frames.write_fields({k: v for k, v in base.items() if v is not None}) + b"SELECT 1")
     assert type(caught.value).__name__ == "Unusable" and next(iter(changes)) in str(caught.value)
