An attempt taken back as its connection comes up no longer leaves beside the one that follows

Cause: `_act` marks an attempt that is taken back while it waits for a connection as `ended` and reports it as not sent with the next tick; it stays in the pool's `waiting` until then. The gate (`Broker._may_go`) looked at `reported` alone, so that a connect that ended within that tick (5 ms) sent it, and the report brought another attempt: two out at once. Only where cancels are allowed, by the module's review of an attempt that is far past its time. Not ruled out: an `undo` that arrives after the next `do` on another connection. Change: what is `ended` does not pass. The test holds the report and the connect, and fails without the mend.

--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -490,8 +490,9 @@
     # --- gates and scopes: what is not wanted any more goes no further ---
 
     def _may_go(self, attempt: Attempt, hand: Hand) -> bool:
-        """The gate at a hand-over. What it stops is reported as never sent, with the next tick."""
-        if attempt.reported:
+        """The gate at a hand-over. What it stops is reported as never sent, with the next tick. Danger: one
+        that was taken back while it waited, its report still to follow, would run beside the next one."""
+        if attempt.reported or attempt.ended:
             return False
         now = self.now()
         known = self.engines.by_number.get(attempt.engine)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -394,6 +394,36 @@
         assert sum(len(e.words(b"do")) for e in engines) == 1 + (not late)
 
 
+@on_uvloop
+async def test_an_attempt_taken_back_as_its_connection_comes_up_does_not_leave(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """Danger: it is reported as never sent with the next tick, and would run beside the one that follows."""
+    engine, gate = Engine(), asyncio.Event()
+    connect = EnginePool._connect
+
+    async def slow(self: EnginePool) -> None:
+        await gate.wait()
+        await connect(self)
+
+    monkeypatch.setattr(EnginePool, "_connect", slow)
+    limits = {**settings()["policy_limits"], "cancel": True}
+    async with running(make_config(target("s-1", await engine.start()), policy_limits=limits)) as rig:
+        broker, caller = rig.node.broker, Caller()
+        request = broker.submit(caller, 1, ask_of("glance"))
+        pool = next(iter(broker.pools.by_number.values()))
+        assert pool.waiting
+        report = broker._end_later
+        monkeypatch.setattr(broker, "_end_later", lambda: None)  # the next tick is still to come
+        broker._cancel(request.id, 0)
+        gate.set()
+        await until(lambda: pool.connections and not pool.waiting)
+        assert not engine.words(b"do")
+        monkeypatch.setattr(broker, "_end_later", report)
+        broker.wheel.soon()
+        assert await within(caller.told.get()) == "served"
+        assert len(engine.words(b"do")) == 1
+
+
 # --- health beside a drain ---
 
 
