Departures are heard behind what waits; an undo has its way; the listener's queue is emptied first

- A cancel behind unread answers (over 256 KiB) or behind frames that wait for their turn was read only once those were through, up to 30 s later (ClientConnection._read_if_wanted paused all reading): a further attempt began for nobody. 16 KiB are now read on and skimmed for departures; of a client that reads no answers and sends more than that, nothing further begins until it is heard again (OpenRequest.unheard, asked at each gate).
- A client that ended its side behind unread answers: the loss of its connection is told only after those, so that its requests stayed open (eof_received).
They end at once now.
- An `undo`, or the end of a spoilt connection, and the attempt that follows go to two engines; nothing orders them, and the next one left with the next tick (0 to 5 ms).
Where second copies are not allowed it waits 10 ms from when the undo left, the time a way counts for elsewhere (Broker._rest).
- Connections that the system had accepted and the loop not yet were reset with the listener 0.65 s after SIGTERM: it is closed once its queue is empty, 50 ms later at the most.

Each has its test in test_crossings, forced by a held socket, a seam or a clock that stands still; each mend was taken out once and its test failed. The skimming parser is compared with the reading one by hypothesis.

--- a/larchhall/broker.py
+++ b/larchhall/broker.py
@@ -60,6 +60,7 @@
 MOST_PATIENCE_MS = 3_600_000.0
 MOST_ESTIMATE = 1e7      # milliseconds, megabytes
 WAY_BACK = 10 * MS       # of a request's patience, for its way here and the answer's way back
+UNDO_WAY = 10 * MS       # the same for an `undo`, before what follows it may leave
 BASE_MB = 24             # what the process takes with nothing in hand, and some room
 LEAST_ROOM = 2 << 20     # bytes
 HELD_PAUSE_MS = 1_000
@@ -369,14 +370,23 @@
         self.later.append((attempt, result))
         self.wheel.soon()
 
+    def _rest(self, attempt: Attempt) -> None:
+        """Danger: its `undo`, or the end of its connection, and the attempt that follows go two ways, and
+        nothing orders them: what leaves next may be there first."""
+        if not self.config.settings.limits.second_copies:
+            attempt.quiet_until = self.now() + UNDO_WAY
+
     def _end_later(self) -> None:
+        now = self.now()
         stay: list[tuple[Attempt, Result]] = []
         while self.later:  # an end may order what ends at once
             later, self.later = self.later, []
             for attempt, result in later:
                 by = attempt.connection
-                held = by is not None and attempt.request.trace in by.undo_waits
+                if by is not None and attempt.request.trace in by.undo_waits:
+                    self._rest(attempt)
                 # Danger: the next attempt may leave with the report, and two would be out at once.
+                held = attempt.quiet_until > now
                 stay.append((attempt, result)) if held else self._end(attempt, result, None)
         self.later = stay
         if stay:
@@ -460,7 +470,7 @@
             return
         attempt = Attempt(request, order.attempt, order.engine, now, now + order.timeout, order.latest)
         request.attempts[attempt.number] = attempt
-        if self.closing or request.given_up:
+        if self.closing or request.given_up or request.unheard:
             self._end_soon(attempt, Result.NOT_SENT)
             return
         if self.budget is not None and not self._in_budget(self.budget, request, attempt):
@@ -498,7 +508,7 @@
         known = self.engines.by_number.get(attempt.engine)
         drained = known is None or known.target.state is not EngineState.READY
         why = stop(now, Passing(
-            attempt.request.client is not None,
+            attempt.request.client is not None and not attempt.request.unheard,
             min(attempt.until, attempt.request.deadline, attempt.latest),
             0 if self.stages is None else self.stages.fastest(
                 attempt.request.route.decode(), now, *AHEAD[hand]),
@@ -546,6 +556,7 @@
 
     def _undo(self, attempt: Attempt, connection: Carrier) -> None:
         connection.undo(attempt)
+        self._rest(attempt)
         self.tally.undone += 1
 
     def undone(self, outcome: Outcome, count: int) -> None:
@@ -689,6 +700,7 @@
             # not reached the engine yet; what follows it may not be there first.
             if spoilt and attempt.written and not attempt.reported:
                 attempt.ended = True
+                self._rest(attempt)
                 self._end_soon(attempt, Result.CANCELLED)
             else:
                 self._end(attempt, Result.RESET if attempt.written else Result.NOT_SENT, None)
--- a/larchhall/lifecycle/drain.py
+++ b/larchhall/lifecycle/drain.py
@@ -4,10 +4,12 @@
 
 import asyncio
 
+from ..wire.peer import has_input
 from .host import Host
 
 GO_ON = 0.65         # s after SIGTERM in which nothing changes: clients come for 0.4 s, ask for 0.2 s more
 HANDED_OVER = 0.7    # s after SIGTERM beside a successor in which requests on open connections are waited for
+QUEUE = 0.05         # s more in which the listener's queue is emptied
 LINGER = 0.1         # s after the word to leave in which a request that crossed it may still come
 LONGEST = 3.0        # s; the longest deadline counts as this where it is longer
 LONGEST_HELD = 5.0   # the same where the platform holds the clients' socket
@@ -24,6 +26,7 @@
         self.node = node
         self.begun_at = 0
         self.closed_out = False
+        self.leave_at = 0
         self.shut_at = 0  # since when nothing that is read is sent on
 
     @property
@@ -49,9 +52,15 @@
             self.loop.call_later(GO_ON, self._leave)
 
     def _leave(self, linger: float = LINGER) -> None:
-        """Danger: to close at once would break connections that the front still hands us."""
+        """Danger: to close at once would break connections that the front still hands us, and reset those
+        that the system has accepted and the loop has not come to."""
         node = self.node
+        self.leave_at = self.leave_at or node.clock.now()
         if node.server is not None:
+            if node.config.accept_fd is None and node.clock.now() - self.leave_at < QUEUE * S and any(
+                    has_input(listener.fileno()) for listener in node.server.sockets):
+                self.loop.call_soon(self._leave, linger)
+                return
             node.server.close()
         node.leaving = True
         if node.siblings is not None:
--- a/larchhall/state/requests.py
+++ b/larchhall/state/requests.py
@@ -50,6 +50,7 @@
     taken: int = 0
     left: bool = False     # its client has gone before its answer
     given_up: bool = False  # it gets its final answer now: nothing more is sent for it
+    unheard: bool = False   # whether its client still waits can't be heard: nothing further begins for it
     level: int | None = None
     reserve: int = 0
     nonce: str | None = None
@@ -86,6 +87,7 @@
     missing: int = 0
     answered: int = 0      # when page 0 came
     notes: dict[NoteKind, int] = field(default_factory=dict)  # when the last of each was taken
+    quiet_until: int = 0   # its end is not told before: the engine may not have heard of it yet
 
     def scope(self, parent: Scope) -> Scope:
         """It, and what belongs to it, below the request's scope."""
--- a/larchhall/wire/client.py
+++ b/larchhall/wire/client.py
@@ -22,6 +22,9 @@
 LINGER = 1 * S           # ns that a broken connection is read on, so that the error is not lost with a reset
 MOST_DISCARDED = 1 << 20  # bytes read on in that time
 TURN = 32                # frames of one connection before everybody else's turn
+AHEAD = 16 * 1024        # bytes that are read on for departures where what came before waits for its turn
+SKIMMED = 2_048          # frames looked at for departures in a turn
+MOST_AHEAD = 4 * MOST_OPEN  # requests of which a departure is heard before they are taken
 HEX = frozenset("0123456789abcdefABCDEF")
 
 
@@ -80,7 +83,10 @@
         self.partial = 0  # bytes held of frames that are not whole yet
         self.reading_on = False  # whole frames wait for this connection's next turn
         self.recent: dict[str, None] = {}  # its last ids
+        self.ahead: set[int] = set()    # streams of requests that wait in the parser
+        self.dropped: set[int] = set()  # of these, those that nobody waits for any more
         self.paused_at = 0  # since when the reader has been slow; 0: it is not
+        self.deaf = False   # what it says from now on is not read
         self.timer: Timer | None = None
         self.half_closed = False  # it asks nothing more, and waits for its answers
 
@@ -107,8 +113,7 @@
         if not self.parser.held():
             self.begun = self.used
         self.parser.feed(data)
-        if not self.reading_on:
-            self._read_on()
+        self._hear_departures() if self.reading_on else self._read_on()
         self._count_partial()
         if self.front.partial > self.front.broker.room and not self.broken:
             self._break("no room for more frames that are not whole")
@@ -124,7 +129,11 @@
         try:
             looked = False
             for _ in range(TURN):
+                if self.paused_at:
+                    return self._hear_departures()
                 if self.broken or (frame := self.parser.next()) is None:
+                    self.ahead.clear()
+                    self.dropped.clear()
                     return
                 if frame.type == frames.REQUEST and not looked:
                     looked = True
@@ -135,13 +144,35 @@
         except frames.BadFrame as error:
             self._break(str(error))
         except Exception as error:  # no input may raise out of a callback
-            self.front.broker.log("client", f"{type(error).__name__}: {error}")
-            self._break("internal error")
+            self._fault(error)
         else:
             self.reading_on = True
-            self._read_if_wanted()
+            self._hear_departures()
             asyncio.get_running_loop().call_soon(self._resume)
 
+    def _hear_departures(self) -> None:
+        """Danger: a client that stops waiting says so behind all that it asked before; while that waits for
+        its turn, or for answers to be read, attempts would begin for nobody."""
+        try:
+            for kind, stream in self.parser.skim(SKIMMED):
+                if kind == frames.REQUEST and len(self.ahead) < MOST_AHEAD:
+                    self.ahead.add(stream)
+                elif kind == frames.ABANDON and stream in self.ahead:
+                    self.dropped.add(stream)
+                elif kind == frames.ABANDON:
+                    self._abandon(stream)
+        except Exception as error:  # no input may raise out of a callback
+            self._fault(error)
+        self._read_if_wanted()
+
+    def _abandon(self, stream: int) -> None:
+        if (request := self.open.pop(stream, None)) is not None:
+            self.front.broker.leave(request)
+
+    def _fault(self, error: Exception) -> None:
+        self.front.broker.log("client", f"{type(error).__name__}: {error}")
+        self._break("internal error")
+
     def _has_left(self) -> bool:
         """Danger: who sends much and goes has gone before the last of it is read, and nothing of it may
         begin then."""
@@ -167,24 +198,37 @@
             self._count_partial()
 
     def _read_if_wanted(self) -> None:
-        """Nothing more is read while frames wait for their turn, or answers for their reader."""
+        """No more is read than departures need while frames wait for their turn, or answers for their
+        reader. Danger: of one that reads no answers and sends on, no departure can be heard any more: nothing
+        further begins for it."""
         if self.transport is None or self.transport.is_closing():
             return
-        if (self.reading_on or self.paused_at) and not self.broken:
+        full = not self.broken and bool(self.reading_on or self.paused_at) and (
+            self.parser.held() > AHEAD or self.front.partial > self.front.broker.room // 2)
+        if full:
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
+        if self.deaf != (full and self.paused_at > 0):
+            self.deaf = not self.deaf
+            for request in self.open.values():
+                if request is not None:
+                    request.unheard = self.deaf
 
     def eof_received(self) -> bool:
         """A client that ends its side has left, unless operators say that it may still wait for answers."""
-        if self.front.broker.terms.half_close != "answer" or self.broken or self.parser.held():
+        waits = self.reading_on or self.paused_at  # what is held are whole frames
+        if self.front.broker.terms.half_close != "answer" or self.broken or self.parser.held() and not waits:
+            # Danger: where answers are still unread the loss of the connection is told only after them.
+            self.broken = True
+            self._abandon_all()
             return False
         self.half_closed = True
         self._end_if_answered()
         return True
 
     def _end_if_answered(self) -> None:
-        if self.half_closed and not self.open:
+        if self.half_closed and not self.open and not self.parser.held():
             self.let_go()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -221,15 +265,16 @@
 
     def resume_writing(self) -> None:
         self.paused_at = 0
+        if not self.reading_on:
+            self._read_on()
         self._read_if_wanted()
+        self._count_partial()
 
     def _frame(self, frame: frames.Frame) -> None:
         if frame.type == frames.REQUEST:
             self._request(frame.stream, frame.payload)
         elif frame.type == frames.ABANDON:
-            request = self.open.pop(frame.stream, None)
-            if request is not None:
-                self.front.broker.leave(request)
+            self._abandon(frame.stream)
         else:
             frames.read_fields(frame.payload)
             self._write(frames.ready(frame.stream, self.front.ready()))
@@ -238,6 +283,8 @@
         if stream <= self.last_stream:
             raise frames.BadFrame(f"stream {stream} is not new on this connection")
         self.last_stream = stream
+        if stream in self.dropped:
+            return
         try:
             ask = read_ask(payload)
             if ask.trace in self.recent:
--- a/larchhall/wire/frames.py
+++ b/larchhall/wire/frames.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+from collections.abc import Iterator
 from typing import NamedTuple
 
 REQUEST, ANSWER, ABANDON, ASK_READY, READY, NO_MORE = 2, 4, 8, 16, 32, 64
@@ -28,12 +29,27 @@
     def __init__(self) -> None:
         self.buffer = bytearray()
         self.at = 0  # up to here it has been given out
+        self.skimmed = 0  # up to here `skim` has looked
 
     def feed(self, data: bytes) -> None:
         del self.buffer[:self.at]
+        self.skimmed = max(0, self.skimmed - self.at)
         self.at = 0
         self.buffer += data
 
+    def skim(self, most: int) -> Iterator[tuple[int, int]]:
+        """Type and stream of whole frames that wait to be given out, each once, so many at the most."""
+        buffer, at = self.buffer, max(self.at, self.skimmed)
+        for _ in range(most):
+            if len(buffer) - at < HEAD.size:
+                break
+            length, kind, stream = HEAD.unpack_from(buffer, at)
+            if not LEAST <= length <= MOST or len(buffer) - at < 4 + length:
+                break
+            at += 4 + length
+            yield kind, stream
+        self.skimmed = at
+
     def next(self) -> Frame | None:
         """Danger: a length is believed before its bytes are there: an impossible one is an error at once,
         and what is held never passes one frame's length."""
@@ -57,7 +73,7 @@
 
     def clear(self) -> None:
         self.buffer.clear()
-        self.at = 0
+        self.at = self.skimmed = 0
 
 
 def read_fields(payload: bytes) -> tuple[dict[str, str], bytes]:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,37 +9,42 @@
 import socket
 import subprocess
 import sys
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
 import pytest
 
 from larchhall import interface as api
-from larchhall.broker import Ask
+from larchhall.broker import UNDO_WAY, Ask
 from larchhall.lifecycle.drain import Drain
-from larchhall.state.pools import EnginePool
 from larchhall.wire import frames, resp
 from larchhall.wire.bus import parse_event
+from larchhall.wire.client import TURN, ClientConnection
 
 from .helpers import MS, Harness, S, entry, make_settings, query_class
 from .sockets import (
+    ROOT,
     STATEMENT,
+    TRACE,
     Bus,
     Client,
     Engine,
+    Rig,
+    connect,
     event,
     free_port,
+    gated,
     make_config,
+    make_known,
     on_uvloop,
+    process,
     running,
     settings,
     target,
     until,
     within,
+    write_config,
 )
-from .test_lifecycle import ROOT, connect, make_known, write_config
 
 
 def asked(stream: int = 1, **fields: str) -> bytes:
@@ -49,21 +54,6 @@
          "weight": "10.0", **fields}) + STATEMENT)
 
 
-@asynccontextmanager
-async def process(folder: Path, **changes: Any) -> AsyncIterator[tuple[Any, int]]:
-    """The real program, and its port."""
-    port = free_port()
-    made = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "larchhall", "serve", cwd=ROOT, stderr=asyncio.subprocess.DEVNULL,
-        env=write_config(folder, listen=f"127.0.0.1:{port}", **changes))
-    try:
-        yield made, port
-    finally:
-        if made.returncode is None:
-            made.kill()
-        await made.wait()
-
-
 # --- shutdown ---
 
 
@@ -244,6 +234,136 @@
             raw.close()
 
 
+# --- what a client says behind what waits ---
+
+
+async def paused(rig: Rig) -> ClientConnection:
+    """The one client reads no answers: its connection is told so, as by the transport."""
+    await until(lambda: len(rig.node.clients) == 1)
+    connection = next(iter(rig.node.clients))
+    connection.pause_writing()
+    return connection
+
+
+@on_uvloop
+async def test_a_cancel_behind_answers_that_nobody_reads_is_heard() -> None:
+    """Danger: its requests were not read until it read on: a further attempt began for nobody."""
+    engines = [Engine(lambda *_: None), Engine(lambda *_: None)]
+    targets = [target(f"s-{n}", await e.start()) for n, e in enumerate(engines)]
+    async with running(make_config(*targets)) as rig:
+        client = await rig.client()
+        client.ask(1, trace="1" * 16)
+        await until(lambda: any(e.words(b"do") for e in engines))
+        await paused(rig)
+        request, = rig.node.broker.requests.values()
+        client.send(frames.ABANDON, 1)
+        await until(lambda: request.client is None)
+        assert request.left
+        first, other = sorted(engines, key=lambda e: not e.words(b"do"))
+        first.writers[0].write(resp.encode(b"1" * 16, b"crashed", b"-", b""))
+        await until(lambda: not rig.node.broker.requests)
+        assert not other.words(b"do") and len(first.words(b"do")) == 1
+
+
+@on_uvloop
+async def test_of_one_that_reads_nothing_and_sends_on_nothing_further_begins_until_it_is_heard() -> None:
+    """More than is read on for departures: whether it cancels can't be known."""
+    engines = [Engine(lambda *_: None), Engine(lambda *_: None)]
+    targets = [target(f"s-{n}", await e.start()) for n, e in enumerate(engines)]
+    async with running(make_config(*targets)) as rig:
+        client = await rig.client()
+        client.ask(1, trace="1" * 16)
+        await until(lambda: any(e.words(b"do") for e in engines))
+        connection = await paused(rig)
+        client.ask(2, trace="2" * 16, body=b"SELECT 1 FROM sales_17.orders /* " + b"x" * 20_000 + b" */")
+        await until(lambda: connection.deaf)
+        first, other = sorted(engines, key=lambda e: not e.words(b"do"))
+        first.writers[0].write(resp.encode(b"1" * 16, b"crashed", b"-", b""))
+        assert (await client.answer())[:2] == (1, frames.REFUSED)
+        assert not other.words(b"do") and len(first.words(b"do")) == 1
+        connection.resume_writing()  # what it had sent is taken now
+        await until(lambda: sum(len(e.words(b"do")) for e in engines) == 2)
+        assert not connection.deaf
+
+
+@on_uvloop
+async def test_a_client_that_ends_its_side_behind_unread_answers_has_left() -> None:
+    """The loss of its connection is told only once they have been read."""
+    engine = Engine(lambda *_: None)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client = await rig.client()
+        client.ask(1, trace="1" * 16)
+        await until(lambda: engine.words(b"do"))
+        connection = next(iter(rig.node.clients))
+        assert connection.transport is not None
+        client.reader._transport.pause_reading()  # type: ignore[attr-defined]
+        while connection.unread() < 1 << 20:  # more than the system takes
+            connection.transport.write(b"\0" * (1 << 20))
+        request, = rig.node.broker.requests.values()
+        client.writer.write_eof()
+        await until(lambda: request.client is None)
+        assert request.left and connection in rig.node.clients
+        connection.drop()
+
+
+@on_uvloop
+async def test_a_request_cancelled_while_it_waits_for_its_turn_never_begins() -> None:
+    """Both lie in one chunk, behind more frames than are given out in one turn."""
+    engine = Engine()
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client = await rig.client()
+        client.ask(1)  # a connection to the engine is up from now on: what begins has left at once
+        assert (await client.answer())[:2] == (1, frames.SERVED)
+        ready = frames.frame(frames.ASK_READY, 0, b"\0") * (TURN + 1)
+        client.writer.write(ready + asked(2) + asked(3) + frames.frame(frames.ABANDON, 2))
+        for _ in range(TURN + 1):
+            assert (await client.frame())[0] == frames.READY
+        assert (await client.answer())[:2] == (3, frames.SERVED)
+        assert [do[1] for do in engine.words(b"do")] == [TRACE.encode(), f"{3:016x}".encode()]
+
+
+@on_uvloop
+async def test_an_undo_has_its_way_before_what_follows_it_leaves(monkeypatch: pytest.MonkeyPatch) -> None:
+    """They go to two engines: nothing orders them, and two attempts would be out at once."""
+    engines = [Engine(lambda *_: None), Engine(lambda *_: None)]
+    targets = [target(f"s-{n}", await e.start()) for n, e in enumerate(engines)]
+    limits = {**settings()["policy_limits"], "cancel": True}
+    async with running(make_config(*targets, policy_limits=limits)) as rig:
+        broker, clock = rig.node.broker, rig.node.clock
+        request = broker.submit(Caller(), 1, ask_of("glance"))
+        await until(lambda: any(e.words(b"do") for e in engines))
+        still = clock.now()
+        monkeypatch.setattr(clock, "now", lambda: still)
+        broker._cancel(request.id, 0)
+        await until(lambda: any(e.words(b"undo") for e in engines))
+        broker._end_later()
+        assert list(request.attempts) == [0] and request.attempts[0].ended
+        still += UNDO_WAY
+        broker._end_later()
+        assert list(request.attempts) == [1]
+        await until(lambda: all(e.words(b"do") for e in engines))
+
+
+@on_uvloop
+async def test_connections_that_wait_in_the_queue_at_the_word_to_leave_are_served() -> None:
+    """The system has accepted them, and with the listener they would be reset."""
+    engine = Engine()
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        drain = Drain(rig.node)
+        drain.loop, drain.begun_at = asyncio.get_running_loop(), rig.node.clock.now()
+        waiting = [socket.create_connection(("127.0.0.1", rig.port)) for _ in range(20)]
+        for number, raw in enumerate(waiting):
+            raw.sendall(asked(1, trace=f"{number:016x}"))
+        drain._leave()  # the loop has had no turn since
+        for raw in waiting:
+            raw.setblocking(False)
+            read = b""
+            while part := await within(asyncio.get_running_loop().sock_recv(raw, 65_536)):
+                read += part
+            assert frames.answer(1, frames.SERVED, {}, b"a\tb\tc\n") in read
+            raw.close()
+
+
 # --- closes by engines ---
 
 
@@ -368,19 +488,11 @@
 async def test_a_keyed_repeat_leaves_within_its_window_or_not_at_all(
         late: bool, monkeypatch: pytest.MonkeyPatch) -> None:
     """Danger: decided on within the window, it waits for a slow connection and leaves after it."""
-    window, gate = 600 * MS, asyncio.Event()
+    window = 600 * MS
+    gate, dialled = gated(monkeypatch, first=1)  # the repeat's waits
     classes = [dict(name="claim", aim=S, deadline=20 * S, worth=1.0, effect="idempotency_key", window=window)]
     engines = [Engine(lambda e, parts, w: w.write(resp.encode(parts[1], b"crashed", b"-", b"")))
                for _ in range(2)]
-    connect, dialled = EnginePool._connect, list[EnginePool]()
-
-    async def slow(self: EnginePool) -> None:
-        dialled.append(self)
-        if len(dialled) > 1:  # the repeat's
-            await gate.wait()
-        await connect(self)
-
-    monkeypatch.setattr(EnginePool, "_connect", slow)
     targets = [target(f"s-{n}", await e.start()) for n, e in enumerate(engines)]
     async with running(make_config(*targets, classes=classes)) as rig:
         caller = Caller()
@@ -398,14 +510,7 @@
 async def test_an_attempt_taken_back_as_its_connection_comes_up_does_not_leave(
         monkeypatch: pytest.MonkeyPatch) -> None:
     """Danger: it is reported as never sent with the next tick, and would run beside the one that follows."""
-    engine, gate = Engine(), asyncio.Event()
-    connect = EnginePool._connect
-
-    async def slow(self: EnginePool) -> None:
-        await gate.wait()
-        await connect(self)
-
-    monkeypatch.setattr(EnginePool, "_connect", slow)
+    engine, (gate, _) = Engine(), gated(monkeypatch)
     limits = {**settings()["policy_limits"], "cancel": True}
     async with running(make_config(target("s-1", await engine.start()), policy_limits=limits)) as rig:
         broker, caller = rig.node.broker, Caller()
--- a/tests/test_wire_tables.py
+++ b/tests/test_wire_tables.py
@@ -47,6 +47,32 @@
     assert fed(frames.FrameParser(), data, step) == sent
 
 
+@given(st.lists(st.tuples(st.sampled_from([frames.REQUEST, frames.ABANDON, frames.ASK_READY]),
+                          st.integers(0, 2**32 - 1), st.binary(max_size=9)), max_size=12),
+       st.integers(1, 40), st.lists(st.integers(0, 5), min_size=1, max_size=12), st.binary(max_size=3))
+def test_what_is_skimmed_are_the_frames_that_still_wait_each_once(
+        sent: list[tuple[int, int, bytes]], step: int, turns: list[int], rest: bytes) -> None:
+    """However they are cut, and however many of them are given out between two looks."""
+    data = b"".join(frames.frame(*one) for one in sent) + rest
+    parser, out, seen = frames.FrameParser(), 0, 0
+
+    def skim(most: int) -> None:
+        nonlocal seen
+        for told in parser.skim(most):
+            place = max(out, seen)
+            assert told == sent[place][:2]
+            seen = place + 1
+
+    for number, at in enumerate(range(0, len(data), step)):
+        parser.feed(data[at:at + step])
+        for _ in range(turns[number % len(turns)]):
+            out += parser.next() is not None
+        skim(turns[-1 - number % len(turns)])
+    skim(len(sent))
+    assert max(out, seen) == len(sent)
+    assert out + sum(1 for _ in iter(parser.next, None)) == len(sent)
+
+
 @pytest.mark.parametrize("data", [
     b"\0\0\0\x04", b"\0\x04\0\x01", b"\xff\xff\xff\xff", b"\0\0\0\x05\x04", b"\0\0\0\x05\0",
     b"\0\0\0\x05\x20"])
