A send is kept from a connection whose engine has closed it, also where other attempts are out there

Where handshakes have a price, attempts share connections, and EnginePool.send asked for an engine's unread close on resting ones alone: on a shared one the send was lost, and an unsafe one failed. It is asked for on each connection that is chosen. The test has the case with another attempt out, closed and reset; without the mend both fail.

--- a/larchhall/state/pools.py
+++ b/larchhall/state/pools.py
@@ -58,8 +58,8 @@
                 best, least = c, open
                 if not open:
                     break
-        if best is not None and not least and best.ended_by_engine():
-            # Danger: engines close what rests; a send that meets such a close may have run, for all we know.
+        if best is not None and best.ended_by_engine():
+            # Danger: a send that meets the engine's close may have run, for all we know.
             best.retired = True
             return self.send(attempt, now, dial)
         best = best or stuck
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -388,14 +388,22 @@
 
 
 @pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize("busy", [False, True])
 @on_uvloop
-async def test_a_send_that_meets_an_engine_s_idle_close_never_ran(reset: bool) -> None:
-    """The close is here, unread, as the request is decided on: what proves that nothing ran is its order."""
+async def test_a_send_that_meets_an_engine_s_close_never_ran(reset: bool, busy: bool) -> None:
+    """The close is here, unread, as the request is decided on: what proves that nothing ran is its order.
+    ``busy``: another attempt is out on the connection."""
     engine = Engine()
     async with running(make_config(target("s-1", await engine.start()))) as rig:
+        rig.node.broker.pools.own = not busy
         client = await rig.client()
         client.ask()
         assert (await client.answer())[1] == frames.SERVED
+        if busy:
+            engine.script = lambda *_: None
+            client.ask(2, trace="2" * 16)
+            await until(lambda: len(engine.words(b"do")) == 2)
+            engine.script = lambda e, parts, w: e.serve(parts, w)
         number = engine.writers[0].transport.get_extra_info("socket").fileno()
         with socket.socket(fileno=os.dup(number)) as its:
             if reset:
@@ -406,7 +414,9 @@
         caller = Caller()
         rig.node.broker.submit(caller, 1, ask_of())
         assert await within(caller.told.get()) == "served"
-        assert len(engine.words(b"do")) == 2 and len(engine.writers) == 2
+        assert [do[1] for do in engine.words(b"do")].count(b"a" * 16) == 1 and len(engine.writers) == 2
+        assert engine.carried[engine.seen.index(next(p for p in engine.seen if p[1] == b"a" * 16))] \
+            is engine.writers[1]
 
 
 class Held:
