A cancel of what has just begun is heard before the frames between; nothing further behind what is unread

A request that was skimmed while it waited, and had begun since, was still known as waiting: its cancel, skimmed with more frames before it, counted for the one that waits and was heard at its turn only. What is open is asked first now. And behind more than is read on for departures nothing further begins whichever the reason that reading rests, unread answers or frames that wait; that much is 64 KiB now, since 32 requests of two kilobytes are usual and must not count as unheard.

The new test holds the connection between two turns; without the mend it fails.

--- a/larchhall/wire/client.py
+++ b/larchhall/wire/client.py
@@ -22,7 +22,7 @@
 LINGER = 1 * S           # ns that a broken connection is read on, so that the error is not lost with a reset
 MOST_DISCARDED = 1 << 20  # bytes read on in that time
 TURN = 32                # frames of one connection before everybody else's turn
-AHEAD = 16 * 1024        # bytes that are read on for departures where what came before waits for its turn
+AHEAD = 64 * 1024        # bytes that are read on for departures where what came before waits for its turn
 SKIMMED = 2_048          # frames looked at for departures in a turn
 MOST_AHEAD = 4 * MOST_OPEN  # requests of which a departure is heard before they are taken
 HEX = frozenset("0123456789abcdefABCDEF")
@@ -157,10 +157,10 @@
             for kind, stream in self.parser.skim(SKIMMED):
                 if kind == frames.REQUEST and len(self.ahead) < MOST_AHEAD:
                     self.ahead.add(stream)
+                elif kind == frames.ABANDON and stream in self.open:
+                    self._abandon(stream)
                 elif kind == frames.ABANDON and stream in self.ahead:
                     self.dropped.add(stream)
-                elif kind == frames.ABANDON:
-                    self._abandon(stream)
         except Exception as error:  # no input may raise out of a callback
             self._fault(error)
         self._read_if_wanted()
@@ -199,8 +199,7 @@
 
     def _read_if_wanted(self) -> None:
         """No more is read than departures need while frames wait for their turn, or answers for their
-        reader. Danger: of one that reads no answers and sends on, no departure can be heard any more: nothing
-        further begins for it."""
+        reader. Danger: behind more than that no departure can be heard: nothing further begins until then."""
         if self.transport is None or self.transport.is_closing():
             return
         full = not self.broken and bool(self.reading_on or self.paused_at) and (
@@ -209,8 +208,8 @@
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
-        if self.deaf != (full and self.paused_at > 0):
-            self.deaf = not self.deaf
+        if self.deaf != full:
+            self.deaf = full
             for request in self.open.values():
                 if request is not None:
                     request.unheard = self.deaf
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -275,14 +275,15 @@
         client.ask(1, trace="1" * 16)
         await until(lambda: any(e.words(b"do") for e in engines))
         connection = await paused(rig)
-        client.ask(2, trace="2" * 16, body=b"SELECT 1 FROM sales_17.orders /* " + b"x" * 20_000 + b" */")
+        for number in range(2, 6):
+            client.ask(number, trace=f"{number:016x}", body=STATEMENT + b" /* " + b"x" * 20_000 + b" */")
         await until(lambda: connection.deaf)
         first, other = sorted(engines, key=lambda e: not e.words(b"do"))
         first.writers[0].write(resp.encode(b"1" * 16, b"crashed", b"-", b""))
         assert (await client.answer())[:2] == (1, frames.REFUSED)
         assert not other.words(b"do") and len(first.words(b"do")) == 1
         connection.resume_writing()  # what it had sent is taken now
-        await until(lambda: sum(len(e.words(b"do")) for e in engines) == 2)
+        await until(lambda: sum(len(e.words(b"do")) for e in engines) == 5)
         assert not connection.deaf
 
 
@@ -322,6 +323,24 @@
         assert [do[1] for do in engine.words(b"do")] == [TRACE.encode(), f"{3:016x}".encode()]
 
 
+@on_uvloop
+async def test_a_cancel_of_what_has_just_begun_is_heard_before_the_frames_between() -> None:
+    """Its request was skimmed while it waited, and has begun since; more frames wait for the next turn."""
+    engine = Engine(lambda *_: None)
+    async with running(make_config(target("s-1", await engine.start()))) as rig:
+        client = await rig.client()
+        await until(lambda: rig.node.clients)
+        connection = next(iter(rig.node.clients))
+        ready = frames.frame(frames.ASK_READY, 0, b"\0") * TURN
+        connection.data_received(ready + asked(1) + ready)
+        assert connection.reading_on and not connection.open
+        connection._read_on()
+        assert connection.reading_on and (request := connection.open[1]) is not None
+        connection.data_received(frames.frame(frames.ABANDON, 1))
+        assert request.left and not connection.open
+        client.writer.close()
+
+
 @on_uvloop
 async def test_an_undo_has_its_way_before_what_follows_it_leaves(monkeypatch: pytest.MonkeyPatch) -> None:
     """They go to two engines: nothing orders them, and two attempts would be out at once."""
