Tests of lists that cross: silent watches, discovery back with drains, a new address in the middle of a line

Now a watch falls silent in the middle of a line and a drain is told on the next one, twice; discovery that refused is back with an event out of turn and a drain; SIGHUP names a new address while the old connection stands in a line. Nothing was wrong. Each was seen to fail with its lines taken out (the drop at silence, the drop of the old connection, the number that is not taken twice, the gap that connects anew).

--- a/tests/test_sockets_bus.py
+++ b/tests/test_sockets_bus.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import signal
@@ -9,11 +10,13 @@
 
 import pytest
 
+from larchhall.wire.bus import BusEvent
 from larchhall.wire.feed import SILENT
 
 from .sockets import (
     MS,
     Bus,
+    Client,
     Engine,
     Rig,
     event,
@@ -24,6 +27,7 @@
     settings,
     target,
     until,
+    write_config,
 )
 
 
@@ -124,3 +128,94 @@
         assert bus.asked[1] == b"from 1\n"
         bus.tell(event(2, target("s-2", 9)))
         await until(lambda: "s-2" in rig.node.broker.engines.by_uid)
+
+
+async def drained_is_left_out(rig: Rig, client: Client, drained: Engine, other: Engine, first: int) -> None:
+    """Requests from now on go to the other engine alone."""
+    before = len(drained.words(b"do"))
+    for stream in range(first, first + 8):
+        client.ask(stream, trace=f"{stream:016x}")
+        assert (await client.answer())[:2] == (stream, 0)
+    assert len(drained.words(b"do")) == before and other.words(b"do")
+
+
+@on_uvloop
+async def test_watches_that_fall_silent_and_drains_told_just_after(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The old connection stays open and says nothing, in the middle of a line; what it still says once the
+    next one is up counts for nothing, and what is told twice counts once."""
+    bus, leaving, other = Bus(), Engine(), Engine()
+    targets = [target("s-1", await leaving.start()), target("s-2", await other.start())]
+    async with running(make_config(*targets, bus=await bus.start())) as rig:
+        await until(lambda: bus.writer)
+        old, feed, taken = bus.writer, rig.node.feed, list[int]()
+        assert old is not None and feed is not None
+        take = feed.take
+
+        def count(event: BusEvent) -> None:
+            taken.append(event.offset)
+            take(event)
+
+        feed.take = count
+        drain = event(2, {**targets[0], "state": "terminating"})
+        line = json.dumps(drain).encode() + b"\n"
+        old.write(line[:40])
+        await until(lambda: feed.connection is not None and feed.connection.parser.buffer)
+        monkeypatch.setattr("larchhall.wire.feed.SILENT", SILENT)
+        feed.check(feed.heard + 2_000 * MS)
+        monkeypatch.setattr("larchhall.wire.feed.SILENT", 1 << 62)
+        await until(lambda: len(bus.asked) == 2 and bus.writer is not old)
+        assert bus.asked[1] == b"from 1\n"
+        old.write(line[40:] + b'{"offset":3,"topology":{"rev":3,"all":true,"targets":[]}}\n')
+        bus.tell(drain)
+        await until(lambda: feed.last == 2)
+        bus.tell(drain)
+        client = await rig.client()
+        await drained_is_left_out(rig, client, leaving, other, 1)
+        bus.tell(event(3))
+        await until(lambda: feed.last == 3)
+        assert taken == [2, 3] and set(rig.node.broker.engines.by_uid) == {"s-1", "s-2"}
+
+
+@on_uvloop
+async def test_discovery_is_back_with_drains_in_its_first_moments() -> None:
+    """It refused; its first lines are the drains that were told meanwhile, and requests are under way."""
+    bus, leaving, other, port = Bus(), Engine(), Engine(), free_port()
+    targets = [target("s-1", await leaving.start()), target("s-2", await other.start())]
+    async with running(make_config(*targets, bus=port)) as rig:
+        await until(lambda: any("no connection" in line for line in rig.logged))
+        client = await rig.client()
+        client.ask(1, trace="1" * 16)
+        assert (await client.answer())[:2] == (1, 0)  # what is known serves
+        bus.server = await asyncio.start_server(bus._client, "127.0.0.1", port)
+        await until(lambda: bus.asked)
+        bus.tell(event(3, {**targets[1], "capacity_hint": 9}))  # out of turn: asked for again, not taken
+        await until(lambda: len(bus.asked) == 2)
+        assert bus.asked == [b"from 1\n", b"from 1\n"]
+        bus.tell(event(2, {**targets[0], "state": "terminating"}))
+        await until(lambda: rig.node.feed is not None and rig.node.feed.last == 2)
+        await drained_is_left_out(rig, client, leaving, other, 2)
+
+
+@on_uvloop
+async def test_a_new_address_while_the_old_connection_stands_in_the_middle_of_a_line(tmp_path: Path) -> None:
+    old, new, leaving, other = Bus(), Bus(), Engine(), Engine()
+    targets = [target("s-1", await leaving.start()), target("s-2", await other.start())]
+    config = make_config(*targets, bus=await old.start())
+    moved = write_config(tmp_path, bus=f"127.0.0.1:{await new.start()}", limits={"sockets": 256})
+    async with running(config, moved) as rig:
+        await until(lambda: old.writer)
+        feed = rig.node.feed
+        assert feed is not None and old.writer is not None
+        line = json.dumps(event(2, {**targets[1], "state": "terminating"})).encode() + b"\n"
+        old.writer.write(line[:50])
+        await until(lambda: feed.connection is not None and feed.connection.parser.buffer)
+        before = feed.connection
+        assert before is not None
+        rig.node.reload()
+        await until(lambda: new.asked and before.transport is None)
+        assert new.asked == [b"from 1\n"]
+        old.writer.write(line[50:])  # late, from an address that is not in force any more
+        new.tell(event(2, {**targets[0], "state": "terminating"}))
+        await until(lambda: feed.last == 2)
+        await drained_is_left_out(rig, await rig.client(), leaving, other, 1)
+        assert len(old.asked) == 1
