A broker that stood still reads what lies there before it closes a client as idle or an answer as cut

ClientConnection._look went by when it had last read: after a stop of over 5 s it closed a connection over requests that lay unread, which resets it, and they came far longer than the 50 ms before in which a client sends again. EngineConnection.check did the same with the rest of an answer after 0.5 s: what was open there may have run, and unsafe work failed. Both ask the system now whether input lies there; an answer that never ends is cut as before, since bytes of it were read of late.

--- a/larchhall/wire/client.py
+++ b/larchhall/wire/client.py
@@ -9,7 +9,7 @@
 from ..state.requests import OpenRequest
 from ..state.wheel import Timer
 from . import frames
-from .peer import has_ended
+from .peer import has_ended, has_input
 from .statement import table_group
 
 MOST_OPEN = 32
@@ -244,7 +244,9 @@
         """Danger: who says nothing, stops in the middle of a frame or stays for good after one request holds
         a descriptor that usual clients need. One timer a connection; it looks again when that may be due."""
         now = self.front.broker.now()
-        if self.open or self.unread() or self.reading_on:
+        # Danger: who stood still itself, or was kept from its core, has not read what came meanwhile: a close
+        # over it would reset the connection, and lose requests that came long before.
+        if self.open or self.unread() or self.reading_on or self.fd >= 0 and has_input(self.fd):
             due = now + WHOLE
         elif self.parser.held():
             due = self.begun + WHOLE
--- a/larchhall/wire/engine.py
+++ b/larchhall/wire/engine.py
@@ -14,7 +14,7 @@
 from ..facade import NoteKind, Result
 from ..state.requests import Attempt
 from . import resp
-from .peer import has_ended
+from .peer import has_ended, has_input
 
 MS = 1_000_000
 MOST_PAGES = 1_024
@@ -259,13 +259,14 @@
 
     def check(self, now: int) -> None:
         """Danger: an answer that stops short on an open connection swallows all answers behind it, and what
-        is sent there later is never heard of again."""
+        is sent there later is never heard of again. Where we stood still, its rest lies here unread."""
         again, stopped = self.undoing.due(now)
         for trace in again:
             self._write(now, b"undo", trace)
         if stopped:
             self.owner.undone(Outcome.STOPPED, len(stopped))
-        if self.parser.buffer and now - self.begun > PART:
+        if self.parser.buffer and now - self.begun > PART and not (
+                now - self.heard > PART and self.fd >= 0 and has_input(self.fd)):
             self._drop("an answer stopped short", spoilt=True)
 
     def connection_lost(self, exc: Exception | None) -> None:
