A stall as the listener closes no longer resets the connections in its queue

What callers saw: at a planned restart, "Connection reset by peer" before any answer, on connections that the system had accepted, where the machine was busy or the process had been stopped for a moment.

Cause: the listener closes once its queue is empty, 50 ms later at the most. The 50 ms were wall time: a process that stood still for longer between two looks found the time used up before the loop had accepted anything (GracefulShutdown._accept_queue_filled).

Why this mend holds: the time counts turns of the event loop, each for 5 ms at the most (RunningTime), so the loop looks at the queue ten times at the least, and one turn accepts all that waits. A crowd that keeps connecting still closes the listener (second test).

--- a/query_broker/server/graceful_shutdown.py
+++ b/query_broker/server/graceful_shutdown.py
@@ -16,6 +16,7 @@
 
 from ..protocols.socket_state import has_input
 from .host import NodeContext
+from .running_time import RunningTime
 
 # Seconds after SIGTERM in which nothing changes: new connections come for 0.4 s more, and their
 # first requests up to 0.2 s later.
@@ -27,6 +28,9 @@
 LINGER_S = 0.1
 # More time, for the connections that the system has accepted and the event loop has not processed.
 ACCEPT_QUEUE_TIMEOUT_NS = 50_000_000
+# The most that one turn of the event loop counts of that time: the loop then looks at the queue ten
+# times at the least.
+MAX_ACCEPT_TURN_NS = 5_000_000
 # The longest deadline of a request class counts up to this: the platform's SIGKILL waits no longer.
 MAX_DEADLINE_S = 3.0
 # The same where the platform holds the clients' socket: it waits longer for a handover.
@@ -59,7 +63,7 @@
         self.node = node
         self.begun_at_ns = 0
         self.closed_out = False
-        self._leaving_since_ns = 0
+        self._accept_time: RunningTime | None = None  # since the listener was to be closed
         self._ended_at_ns = 0  # from then on nothing that is read is dispatched
 
     @property
@@ -98,10 +102,10 @@
         those that the system has accepted and the event loop has not processed yet.
         """
         node = self.node
-        if not self._leaving_since_ns:
-            self._leaving_since_ns = node.clock.now()
+        if self._accept_time is None:
+            self._accept_time = RunningTime(node.clock, MAX_ACCEPT_TURN_NS)
         if node.server is not None:
-            if self._accept_queue_filled(node.server):
+            if self._accept_queue_filled(node.server, self._accept_time):
                 asyncio.get_running_loop().call_soon(self._announce_leaving, linger_s)
                 return
             node.server.close()
@@ -113,11 +117,16 @@
             client.announce_shutdown()
         _call_later(linger_s, self._await_requests)
 
-    def _accept_queue_filled(self, server: asyncio.Server) -> bool:
-        """Whether connections wait to be accepted that no other process would take."""
+    def _accept_queue_filled(self, server: asyncio.Server, accept_time: RunningTime) -> bool:
+        """Whether connections wait to be accepted that no other process would take.
+
+        The timeout bounds how long a crowd of new connections keeps the listener open. It counts
+        the turns of the loop: by the clock alone a stall would use it up before the loop had
+        accepted any of the connections that wait, and these would be reset.
+        """
         if self.node.config.accept_fd is not None:
             return False
-        if self.node.clock.now() - self._leaving_since_ns >= ACCEPT_QUEUE_TIMEOUT_NS:
+        if accept_time.elapsed_ns() >= ACCEPT_QUEUE_TIMEOUT_NS:
             return False
         return any(has_input(listener.fileno()) for listener in server.sockets)
 
--- /dev/null
+++ b/tests/dispatch/test_shutdown_stalls.py
@@ -0,0 +1,61 @@
+"""Stalls of the process (SIGSTOP, a busy machine) at each step of a graceful shutdown.
+
+The clock is moved on between two turns of the event loop, which is what a stall looks like to the
+process: much time has passed, and what came meanwhile lies unread in the system's buffers.
+"""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+
+from query_broker.protocols import client_frames as frames
+from query_broker.server import graceful_shutdown
+from query_broker.server.graceful_shutdown import ACCEPT_QUEUE_TIMEOUT_NS, GracefulShutdown
+
+from ..protocols.scripted_engines import broker_with_engines
+from ..support.sockets import Engine, Rig, on_uvloop, until
+from .request_frames import read_to_end, request_frame
+
+pytestmark = pytest.mark.real_time
+
+SERVED_ANSWER = frames.answer(1, frames.SERVED, {}, b"a\tb\tc\n")
+
+
+def stall(rig: Rig, duration_ns: int) -> None:
+    """Let this time pass without a turn of the event loop."""
+    rig.node.clock.anchor += duration_ns
+
+
+@on_uvloop
+async def test_connections_in_the_queue_are_served_after_a_stall_longer_than_its_timeout() -> None:
+    """A broker that stood still as its listener was to close reset the connections in the queue.
+
+    The queue got 50 ms by the clock. Where the process stood still for that long, the time was over
+    before the loop had accepted a connection: "Connection reset by peer" in 2 to 9 of 500 runs of
+    `connections_that_wait_in_the_queue` beside other load.
+    """
+    async with broker_with_engines(Engine()) as rig:
+        shutdown = GracefulShutdown(rig.node)
+        shutdown.begun_at_ns = rig.node.clock.now()
+        waiting = [socket.create_connection(("127.0.0.1", rig.port)) for _ in range(20)]
+        for number, raw in enumerate(waiting):
+            raw.sendall(request_frame(1, trace=f"{number:016x}"))
+        shutdown._announce_leaving()
+        stall(rig, 4 * ACCEPT_QUEUE_TIMEOUT_NS)
+        for raw in waiting:
+            assert SERVED_ANSWER in await read_to_end(raw)
+            raw.close()
+
+
+@on_uvloop
+async def test_new_connections_do_not_keep_the_listener_open_without_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(graceful_shutdown, "has_input", lambda descriptor: True)
+    async with broker_with_engines(Engine()) as rig:
+        shutdown = GracefulShutdown(rig.node)
+        shutdown.begun_at_ns = rig.node.clock.now()
+        shutdown._announce_leaving()
+        await until(lambda: rig.node.closing_announced)
