A request that came during a stall is answered before a shutdown ends connections

What callers saw: on an open connection of a broker that was shutting down, the connection ended without an answer to the last request.

Cause: 0.1 s after clients are asked to leave, the shutdown looks whether a request is open. After a stall of the process that timer is due before the loop comes to the sockets; the request lay unread in the system's buffer, nothing seemed open, this side of each connection ended, and the request was read later and dropped (GracefulShutdown._is_idle).

Why this mend holds: the node is idle only if nothing lies unread on any connection. The end of a half-closed connection stays readable for good and does not count, so it delays no stop (second test).

Measured: the new test takes that step without a turn of the loop between; without the mend it fails each time (an empty stream, no query at the engine). test_shutdown_stalls, test_shutdown_races and test_lifecycle pass.

--- a/query_broker/protocols/client_connection.py
+++ b/query_broker/protocols/client_connection.py
@@ -219,6 +219,14 @@
         """Return how many bytes of answers wait for the client to read."""
         return self.socket.unread_bytes()
 
+    def has_unread_input(self) -> bool:
+        """Return whether the client has sent what this process has not read yet.
+
+        False once nothing that is read is used any more; the end of a half-closed connection stays
+        readable, and is nothing that the client has sent.
+        """
+        return not (self.broken or self.half_closed) and self.socket.has_input()
+
     def close(self) -> None:
         """End an idle connection; what has been written still leaves."""
         self.broken = True
--- a/query_broker/server/graceful_shutdown.py
+++ b/query_broker/server/graceful_shutdown.py
@@ -144,13 +144,14 @@
         _call_later(CHECK_PERIOD_S, self._await_requests)
 
     def _is_idle(self) -> bool:
-        """Whether every answer has been sent and no request has arrived in part.
+        """Whether every answer has been sent and no request has come, in full or in part.
 
-        A partial request would be lost with its connection.
+        A request that is read in part would be lost with its connection, and so would one that has
+        not been read: after a stall a timer is due before the loop comes to the sockets.
         """
-        return (
-            all(client.idle() for client in self.node.clients) and not self.node.partial_frame_bytes
-        )
+        if self.node.partial_frame_bytes:
+            return False
+        return all(client.idle() and not client.has_unread_input() for client in self.node.clients)
 
     def _end_connections(self) -> None:
         """End this side of each connection, and read the other side to its end.
--- a/tests/dispatch/test_shutdown_stalls.py
+++ b/tests/dispatch/test_shutdown_stalls.py
@@ -7,15 +7,17 @@
 from __future__ import annotations
 
 import socket
+from dataclasses import replace
 
 import pytest
 
+from query_broker.deadlines.settings import HalfClosePolicy
 from query_broker.protocols import client_frames as frames
 from query_broker.server import graceful_shutdown
 from query_broker.server.graceful_shutdown import ACCEPT_QUEUE_TIMEOUT_NS, GracefulShutdown
 
-from ..protocols.scripted_engines import broker_with_engines
-from ..support.sockets import Engine, Rig, on_uvloop, until
+from ..protocols.scripted_engines import broker_with_engines, silent_engine
+from ..support.sockets import Engine, Rig, on_uvloop, until, within
 from .request_frames import read_to_end, request_frame
 
 pytestmark = pytest.mark.real_time
@@ -59,3 +61,38 @@
         shutdown.begun_at_ns = rig.node.clock.now()
         shutdown._announce_leaving()
         await until(lambda: rig.node.closing_announced)
+
+
+@on_uvloop
+async def test_a_request_that_came_during_a_stall_is_answered_before_connections_end() -> None:
+    """A broker that stood still after the frame of type 64 ended connections over a request.
+
+    The timer of the next step is due before the loop comes to the sockets. No request seemed to be
+    open, since the one that had come lay unread: it was read after this side of the connection had
+    ended, and dropped. Its client saw the connection end without an answer.
+    """
+    engine = Engine()
+    async with broker_with_engines(engine) as rig:
+        with socket.create_connection(("127.0.0.1", rig.port)) as raw:
+            await until(lambda: rig.node.clients)
+            shutdown = GracefulShutdown(rig.node)
+            shutdown.begun_at_ns = rig.node.clock.now()
+            raw.sendall(request_frame(1))
+            shutdown._await_requests()  # the loop has had no turn since
+            assert await read_to_end(raw) == SERVED_ANSWER
+        await within(rig.node.stopped.wait())
+
+
+@on_uvloop
+async def test_a_client_that_has_ended_its_side_does_not_delay_the_stop() -> None:
+    """The end of a stream stays readable for as long as the connection is open."""
+    async with broker_with_engines(silent_engine()) as rig:
+        controls = rig.node.dispatcher.deadline_controls
+        controls.settings = replace(controls.settings, half_close=HalfClosePolicy.AWAIT_ANSWERS)
+        with socket.create_connection(("127.0.0.1", rig.port)) as raw:
+            raw.sendall(request_frame(1))
+            raw.shutdown(socket.SHUT_WR)
+            await until(lambda: any(client.half_closed for client in rig.node.clients))
+            (connection,) = rig.node.clients
+            assert connection.socket.has_input()
+            assert not connection.has_unread_input()
