A stall over the close-out of a shutdown no longer takes the final answers away

What callers saw: requests open at the end of a shutdown, which are owed a final answer 0.4 s before SIGKILL, got none; their connections ended. A caller of a non-idempotent request could not tell failed from lost.

Cause: close-out and end of all connections were due at fixed times after SIGTERM, 0.25 s apart. A process that stood still over both went straight to the end at its next look; one that stood still after the close-out ended over what had come meanwhile (GracefulShutdown._await_requests).

Why this mend holds: the close-out comes first however late the look is, and its answers get their 0.25 s from then on, counted in turns of the loop of 50 ms at the most.

--- a/query_broker/server/graceful_shutdown.py
+++ b/query_broker/server/graceful_shutdown.py
@@ -41,7 +41,9 @@
 # the connections and a loop that is late.
 CLOSE_OUT_MARGIN_S = 0.4
 # Time in which the answers of the close-out may leave.
-FLUSH_TIMEOUT_S = 0.25
+FLUSH_TIMEOUT_NS = 250_000_000
+# The most that the time between two checks counts of it: a stall must leave the answers some turns.
+MAX_FLUSH_STEP_NS = 50_000_000
 # Time in which the clients end their side of a connection once this one has ended; the node does
 # not wait longer for a client that stays.
 DISCONNECT_TIMEOUT_NS = 100_000_000
@@ -64,6 +66,7 @@
         self.begun_at_ns = 0
         self.closed_out = False
         self._accept_time: RunningTime | None = None  # since the listener was to be closed
+        self._flush_time: RunningTime | None = None  # since the close-out
         self._ended_at_ns = 0  # from then on nothing that is read is dispatched
 
     @property
@@ -132,17 +135,31 @@
 
     def _await_requests(self) -> None:
         """Wait until nothing is in flight; close out what is open when the time is up."""
-        elapsed_s = (self.node.clock.now() - self.begun_at_ns) / NS_PER_S
-        if self._is_idle() or elapsed_s > self.close_out_after_s + FLUSH_TIMEOUT_S:
+        if self._is_idle() or self._flush_timed_out():
             self._end_connections()
             return
+        elapsed_s = (self.node.clock.now() - self.begun_at_ns) / NS_PER_S
         if elapsed_s >= self.close_out_after_s and not self.closed_out:
-            # SIGKILL would end these requests without any answer: a final answer now is better.
-            self.closed_out = True
-            self.node.log("stop", f"closing out {len(self.node.dispatcher.requests)} requests")
-            self.node.dispatcher.cancellations.close_out_all()
+            self._close_out()
         _call_later(CHECK_PERIOD_S, self._await_requests)
 
+    def _close_out(self) -> None:
+        """Give all requests their final answer: SIGKILL would end them without any."""
+        self.closed_out = True
+        self.node.log("stop", f"closing out {len(self.node.dispatcher.requests)} requests")
+        self.node.dispatcher.cancellations.close_out_all()
+        self._flush_time = RunningTime(self.node.clock, MAX_FLUSH_STEP_NS)
+
+    def _flush_timed_out(self) -> bool:
+        """Whether the answers of the close-out have had their time to leave.
+
+        It begins with the close-out, not at a fixed time after SIGTERM: a process that stood still
+        over both would end the connections without any answer.
+        """
+        if self._flush_time is None:
+            return False
+        return self._flush_time.elapsed_ns() >= FLUSH_TIMEOUT_NS
+
     def _is_idle(self) -> bool:
         """Whether every answer has been sent and no request has come, in full or in part.
 
--- a/tests/dispatch/test_shutdown_stalls.py
+++ b/tests/dispatch/test_shutdown_stalls.py
@@ -12,11 +12,17 @@
 import pytest
 
 from query_broker.deadlines.settings import HalfClosePolicy
+from query_broker.emulator.clients import LENGTH_BYTES
 from query_broker.protocols import client_frames as frames
 from query_broker.server import graceful_shutdown
-from query_broker.server.graceful_shutdown import ACCEPT_QUEUE_TIMEOUT_NS, GracefulShutdown
+from query_broker.server.graceful_shutdown import (
+    ACCEPT_QUEUE_TIMEOUT_NS,
+    FLUSH_TIMEOUT_NS,
+    GracefulShutdown,
+)
 
 from ..protocols.scripted_engines import broker_with_engines, silent_engine
+from ..support.helpers import MS
 from ..support.sockets import Engine, Rig, on_uvloop, until, within
 from .request_frames import read_to_end, request_frame
 
@@ -30,6 +36,16 @@
     rig.node.clock.anchor += duration_ns
 
 
+def answers_in(received: bytes) -> dict[int, int]:
+    """Return the code of each answer in these bytes, by stream."""
+    codes = {}
+    while received:
+        length, _, stream = frames.HEAD.unpack_from(received)
+        codes[stream] = received[frames.HEAD.size]
+        received = received[LENGTH_BYTES + length :]
+    return codes
+
+
 @on_uvloop
 async def test_connections_in_the_queue_are_served_after_a_stall_longer_than_its_timeout() -> None:
     """A broker that stood still as its listener was to close reset the connections in the queue.
@@ -96,3 +112,47 @@
             (connection,) = rig.node.clients
             assert connection.socket.has_input()
             assert not connection.has_unread_input()
+
+
+@on_uvloop
+async def test_a_stall_over_the_close_out_does_not_take_the_final_answers_away() -> None:
+    """A broker that stood still over the close-out ended without any answer to open requests.
+
+    The close-out is due 0.4 s before SIGKILL, and the end of all connections was due 0.25 s later
+    by the clock. A broker whose first look came after both went straight to the end.
+    """
+    engine = silent_engine()
+    async with broker_with_engines(engine) as rig:
+        client = await rig.client()
+        client.ask()
+        await until(lambda: engine.commands_named(b"do"))
+        shutdown = GracefulShutdown(rig.node)
+        stalled_ns = int(shutdown.close_out_after_s * 1e9) + FLUSH_TIMEOUT_NS + 10 * MS
+        shutdown.begun_at_ns = rig.node.clock.now() - stalled_ns
+        shutdown._await_requests()
+        assert (await client.answer())[:2] == (1, frames.REFUSED)
+        assert await within(client.reader.read()) == b""
+        client.writer.close()
+        await within(rig.node.stopped.wait())
+
+
+@on_uvloop
+async def test_a_stall_after_the_close_out_leaves_its_answers_time_to_be_read() -> None:
+    """A request that came during the stall is answered too: what is open then is rejected."""
+    engine = silent_engine()
+    async with broker_with_engines(engine) as rig:
+        with socket.create_connection(("127.0.0.1", rig.port)) as raw:
+            raw.sendall(request_frame(1))
+            await until(lambda: engine.commands_named(b"do"))
+            shutdown = GracefulShutdown(rig.node)
+            shutdown.begun_at_ns = rig.node.clock.now() - int(shutdown.close_out_after_s * 1e9)
+            shutdown._await_requests()
+            assert shutdown.closed_out
+            raw.sendall(request_frame(2))
+            stall(rig, 4 * FLUSH_TIMEOUT_NS)
+            shutdown._await_requests()  # the loop has had no turn since
+            received = await read_to_end(raw)
+        answers = answers_in(received)
+        assert answers == {1: frames.REFUSED, 2: frames.REFUSED}
+        assert len(engine.commands_named(b"do")) == 1
+        await within(rig.node.stopped.wait())
