A stall at the end of connections no longer stops the process over unread bytes

What callers saw: rarely, "Connection reset by peer" in place of the last answer of a broker that was shutting down.

Cause: once this side of each connection has ended, clients have 0.1 s to end theirs, so that no socket is closed over unread bytes, which resets it. The time was wall time: after a stall it was over before the loop had read anything, and the process stopped (GracefulShutdown._await_disconnects).

Why this mend holds: the time counts turns of the loop, each for 25 ms at the most, so that what had come before and during a stall is read before the stop; a client that stays is still not waited for.

--- a/query_broker/server/graceful_shutdown.py
+++ b/query_broker/server/graceful_shutdown.py
@@ -13,6 +13,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 from ..protocols.socket_state import has_input
 from .host import NodeContext
@@ -47,6 +48,8 @@
 # Time in which the clients end their side of a connection once this one has ended; the node does
 # not wait longer for a client that stays.
 DISCONNECT_TIMEOUT_NS = 100_000_000
+# The most that the time between two checks counts of it.
+MAX_DISCONNECT_STEP_NS = 25_000_000
 # Time between two checks of whether all is done; short compared to every timeout above.
 CHECK_PERIOD_S = 0.01
 NS_PER_S = 1_000_000_000
@@ -67,7 +70,6 @@
         self.closed_out = False
         self._accept_time: RunningTime | None = None  # since the listener was to be closed
         self._flush_time: RunningTime | None = None  # since the close-out
-        self._ended_at_ns = 0  # from then on nothing that is read is dispatched
 
     @property
     def begun(self) -> bool:
@@ -176,17 +178,19 @@
         A request that is read now and dispatched would be lost with the process. To close over
         unread bytes resets the connection, and takes what the client has not read yet with it.
         """
-        self._ended_at_ns = self.node.clock.now()
         self.node.dispatcher.request_table.closing = True
         for client in list(self.node.clients):
             client.close_gracefully()
-        self._await_disconnects()
+        self._await_disconnects(RunningTime(self.node.clock, MAX_DISCONNECT_STEP_NS))
 
-    def _await_disconnects(self) -> None:
-        """Stop the node once the clients have ended their side, or when the time is up."""
-        waited_ns = self.node.clock.now() - self._ended_at_ns
-        if self.node.clients and waited_ns < DISCONNECT_TIMEOUT_NS:
-            _call_later(CHECK_PERIOD_S, self._await_disconnects)
+    def _await_disconnects(self, waited: RunningTime) -> None:
+        """Stop the node once the clients have ended their side, or when the time is up.
+
+        The time counts the turns of the loop: what a client had sent before a stall has to be read
+        before the node stops, or the connection is reset, and its last answers with it.
+        """
+        if self.node.clients and waited.elapsed_ns() < DISCONNECT_TIMEOUT_NS:
+            _call_later(CHECK_PERIOD_S, partial(self._await_disconnects, waited))
         else:
             self.node.stop()
 
--- a/tests/dispatch/test_shutdown_stalls.py
+++ b/tests/dispatch/test_shutdown_stalls.py
@@ -6,7 +6,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
+import time
+from collections.abc import Callable
 from dataclasses import replace
 
 import pytest
@@ -17,14 +20,16 @@
 from query_broker.server import graceful_shutdown
 from query_broker.server.graceful_shutdown import (
     ACCEPT_QUEUE_TIMEOUT_NS,
+    DISCONNECT_TIMEOUT_NS,
     FLUSH_TIMEOUT_NS,
+    NS_PER_S,
     GracefulShutdown,
 )
 
 from ..protocols.scripted_engines import broker_with_engines, silent_engine
 from ..support.helpers import MS
 from ..support.sockets import Engine, Rig, on_uvloop, until, within
-from .request_frames import read_to_end, request_frame
+from .request_frames import HALF_A_REQUEST, read_to_end, request_frame
 
 pytestmark = pytest.mark.real_time
 
@@ -46,6 +51,25 @@
     return codes
 
 
+def call_among_sockets(callback: Callable[[], None]) -> None:
+    """Call back once as the event loop handles its sockets.
+
+    What comes meanwhile is read in the next turn, after the timers that are due by then: so a
+    callback that blocks is a stall with input behind it.
+    """
+    ours, theirs = socket.socketpair()
+    loop = asyncio.get_running_loop()
+
+    def call() -> None:
+        loop.remove_reader(ours)
+        ours.close()
+        callback()
+
+    loop.add_reader(ours, call)
+    theirs.send(b"x")
+    theirs.close()
+
+
 @on_uvloop
 async def test_connections_in_the_queue_are_served_after_a_stall_longer_than_its_timeout() -> None:
     """A broker that stood still as its listener was to close reset the connections in the queue.
@@ -156,3 +180,36 @@
         assert answers == {1: frames.REFUSED, 2: frames.REFUSED}
         assert len(engine.commands_named(b"do")) == 1
         await within(rig.node.stopped.wait())
+
+
+@on_uvloop
+async def test_a_stall_at_the_end_of_connections_does_not_stop_the_node_over_unread_bytes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A broker that stood still after it had ended its side stopped over unread bytes.
+
+    That resets the connection, and a client that has not read its last answers loses them. The
+    clients' time to end their side was 0.1 s by the clock, over before the loop had one turn.
+    """
+    async with broker_with_engines(Engine()) as rig:
+        with socket.create_connection(("127.0.0.1", rig.port)) as raw:
+            await until(lambda: rig.node.clients)
+            shutdown = GracefulShutdown(rig.node)
+            shutdown.begun_at_ns = rig.node.clock.now()
+            shutdown._end_connections()
+            (connection,) = rig.node.clients
+            read_at_stop: list[int] = []
+            stop = rig.node.stop
+
+            def record_and_stop() -> None:
+                read_at_stop.append(connection.socket.discarded_bytes)
+                stop()
+
+            def send_and_block() -> None:
+                raw.sendall(HALF_A_REQUEST)  # it crossed the end of our side
+                time.sleep(2 * DISCONNECT_TIMEOUT_NS / NS_PER_S)
+
+            monkeypatch.setattr(rig.node, "stop", record_and_stop)
+            call_among_sockets(send_and_block)
+            await within(rig.node.stopped.wait())
+            assert read_at_stop[0] == len(HALF_A_REQUEST)
