A SIGTERM that came during a stall counts from the beginning of the stall

What callers saw: requests in flight at a broker that was stopped, or starved of processor time, as SIGTERM came got no answer: SIGKILL came before the broker's own close-out.

Cause: the platform counts SIGKILL from the moment at which it sends SIGTERM, the broker its close-out from the moment at which its handler ran (GracefulShutdown.begin). After a stall of 0.4 s or more the close-out lay behind SIGKILL.

Why this mend holds: the tick loop records its last stall, and a SIGTERM that is handled within 0.1 s of its end counts from its beginning, the earliest moment at which it may have come; the grace period is cut where the close-out would come before its end. If the signal came at the end in fact, requests are rejected earlier than need be, none is lost. Without a stall nothing changes (second test).

Measured: the new test fails without the mend (the shutdown counted from the end of a stall of 2 s) and passes with it; test_shutdown_stalls, test_shutdown_races, test_signal_races, test_lifecycle and test_upgrade passed.

--- a/query_broker/server/graceful_shutdown.py
+++ b/query_broker/server/graceful_shutdown.py
@@ -59,7 +59,8 @@
     """Takes a node from SIGTERM to its stop.
 
     Attributes:
-        begun_at_ns: When SIGTERM came, in Unix nanoseconds; 0 before that.
+        begun_at_ns: When SIGTERM came, in Unix nanoseconds; 0 before that. Where it may have come
+            during a stall of this process, the beginning of the stall: SIGKILL counts from then.
         closed_out: The requests that were open at ``close_out_after_s`` got a final answer.
     """
 
@@ -89,7 +90,7 @@
         """Start the shutdown at SIGTERM; further signals change nothing."""
         if self.begun:
             return
-        self.begun_at_ns = self.node.clock.now()
+        self.begun_at_ns = self.node.earliest_signal_ns()
         peer_processes = self.node.peer_processes
         if peer_processes is not None:
             peer_processes.poll()
@@ -98,7 +99,17 @@
             self._announce_leaving(HANDOVER_LINGER_S)
         else:
             self.node.log("stop", "SIGTERM: still serving, then draining")
-            _call_later(GRACE_PERIOD_S, self._announce_leaving)
+            _call_later(self._grace_period_s(), self._announce_leaving)
+
+    def _grace_period_s(self) -> float:
+        """Return the seconds from now in which nothing changes.
+
+        After a stall during which SIGTERM may have come, less time is left until the close-out.
+        """
+        elapsed_s = (self.node.clock.now() - self.begun_at_ns) / NS_PER_S
+        if elapsed_s <= 0:
+            return GRACE_PERIOD_S
+        return min(GRACE_PERIOD_S, max(0.0, self.close_out_after_s - LINGER_S - elapsed_s))
 
     def _announce_leaving(self, linger_s: float = LINGER_S) -> None:
         """Close the listener once its queue is empty, then ask the clients to leave.
--- a/query_broker/server/host.py
+++ b/query_broker/server/host.py
@@ -81,6 +81,9 @@
     def ready(self) -> bool:
         """Return whether clients should send their requests here."""
 
+    def earliest_signal_ns(self) -> int:
+        """Return the earliest time at which a signal that is handled now may have come."""
+
     def stop(self) -> None:
         """Release all resources; ``run`` returns."""
 
--- a/query_broker/server/node.py
+++ b/query_broker/server/node.py
@@ -158,6 +158,10 @@
         """Return whether clients should send their requests here."""
         return self.endpoint_list_known and not self.closing_announced
 
+    def earliest_signal_ns(self) -> int:
+        """Return the earliest time at which a signal that is handled now may have come."""
+        return self.tick_loop.earliest_signal_ns(self.clock.now())
+
     def admit(self, connection: ClientConnection) -> bool:
         """Admit a new connection; False if there is no capacity for it."""
         return self.admission.admit(connection)
--- a/query_broker/server/tick_loop.py
+++ b/query_broker/server/tick_loop.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from ..discovery.watch_client import WatchClient
 from .client_admission import ClientAdmission
@@ -17,6 +17,21 @@
 # A tick that is later than this is logged. Ticks are a few milliseconds apart: one so late means
 # that the process had too little processor time.
 MAX_LAG_NS = 100_000_000
+# A signal that is handled so soon after a stall may have come during it: the loop comes to the late
+# tick first, and to the signals in the same turn.
+SIGNAL_DELAY_NS = 100_000_000
+
+
+class Stall(NamedTuple):
+    """A time in which the event loop did not run.
+
+    Attributes:
+        began_ns: The last tick before it.
+        ended_ns: The first tick after it.
+    """
+
+    began_ns: int
+    ended_ns: int
 
 
 class TickingNode(NodeContext, Protocol):
@@ -48,19 +63,23 @@
         self._next_tick: asyncio.TimerHandle | None = None  # None during a tick
         now_ns = node.clock.now()
         self._due_ns = now_ns  # when the next tick is due
+        self._last_tick_ns = now_ns
+        self._last_stall = Stall(began_ns=0, ended_ns=0)
         self._last_sweep_ns = now_ns
 
     def start(self) -> None:
         """Run the first tick; call it on the running event loop."""
         now_ns = self.node.clock.now()
         self._due_ns = now_ns
+        self._last_tick_ns = now_ns
         self._last_sweep_ns = now_ns
         self.node.dispatcher.timer_wheel.set_owner(self)
         self._tick()
 
     def _tick(self) -> None:
         now_ns = self.node.clock.now()
-        self._log_lag(now_ns)
+        self._detect_stall(now_ns)
+        self._last_tick_ns = now_ns
         self._next_tick = None
         try:
             self._run_due_work(now_ns)
@@ -71,9 +90,19 @@
         # The next tick is scheduled by now, so that a timer set here can bring it forward.
         self.node.after_tick()
 
-    def _log_lag(self, now_ns: int) -> None:
+    def earliest_signal_ns(self, now_ns: int) -> int:
+        """Return the earliest time at which a signal that is handled now may have come.
+
+        A process that is stopped handles a signal only once it runs again, while whoever has sent
+        the signal counts from the moment of sending it.
+        """
+        stall = self._last_stall
+        return stall.began_ns if now_ns - stall.ended_ns <= SIGNAL_DELAY_NS else now_ns
+
+    def _detect_stall(self, now_ns: int) -> None:
         late_ns = now_ns - self._due_ns
         if late_ns > self.node.config.settings.tick_ns + MAX_LAG_NS:
+            self._last_stall = Stall(began_ns=self._last_tick_ns, ended_ns=now_ns)
             self.node.log("lag", f"the event loop was blocked for {late_ns / NS_PER_MS:.0f} ms")
 
     def _run_due_work(self, now_ns: int) -> None:
--- a/tests/dispatch/test_shutdown_stalls.py
+++ b/tests/dispatch/test_shutdown_stalls.py
@@ -25,6 +25,7 @@
     NS_PER_S,
     GracefulShutdown,
 )
+from query_broker.server.tick_loop import SIGNAL_DELAY_NS
 
 from ..protocols.scripted_engines import broker_with_engines, silent_engine
 from ..support.helpers import MS
@@ -213,3 +214,36 @@
             call_among_sockets(send_and_block)
             await within(rig.node.stopped.wait())
             assert read_at_stop[0] == len(HALF_A_REQUEST)
+
+
+@on_uvloop
+async def test_a_sigterm_that_came_during_a_stall_counts_from_the_beginning_of_the_stall() -> None:
+    """A broker that was stopped as SIGTERM came counted from when it ran again.
+
+    SIGKILL counts from when the signal was sent. The close-out, 0.4 s before SIGKILL by the
+    broker's own count, then came too late: the requests open at SIGKILL had no answer.
+    """
+    engine = silent_engine()
+    async with broker_with_engines(engine) as rig:
+        client = await rig.client()
+        client.ask()
+        await until(lambda: engine.commands_named(b"do"))
+        sent_ns = rig.node.clock.now()
+        stall(rig, 2_000 * MS)
+        rig.node.tick_loop._tick()  # the loop runs its timers first, then the signals
+        rig.node.shutdown.begin()
+        assert rig.node.shutdown.begun_at_ns <= sent_ns
+        assert await client.frame() == (frames.NO_MORE, 0, b"")
+        assert (await client.answer())[:2] == (1, frames.REFUSED)
+        assert rig.node.shutdown.closed_out
+        client.writer.close()
+
+
+@on_uvloop
+async def test_a_sigterm_long_after_a_stall_counts_from_now() -> None:
+    async with broker_with_engines(Engine()) as rig:
+        stall(rig, 2_000 * MS)
+        rig.node.tick_loop._tick()
+        stall(rig, 2 * SIGNAL_DELAY_NS)
+        now_ns = rig.node.clock.now()
+        assert rig.node.earliest_signal_ns() >= now_ns
