--- a/query_broker/server/graceful_shutdown.py
+++ b/query_broker/server/graceful_shutdown.py
@@ -90,7 +90,8 @@
         """Start the shutdown at SIGTERM; further signals change nothing."""
         if self.begun:
             return
-        self.begun_at_ns = self.node.earliest_signal_ns()
+        now_ns = self.node.clock.now()
+        self.begun_at_ns = self.node.earliest_signal_ns(now_ns)
         peer_processes = self.node.peer_processes
         if peer_processes is not None:
             peer_processes.poll()
@@ -99,16 +100,16 @@
             self._announce_leaving(HANDOVER_LINGER_S)
         else:
             self.node.log("stop", "SIGTERM: still serving, then draining")
-            _call_later(self._grace_period_s(), self._announce_leaving)
+            _call_later(self._grace_period_s(now_ns), self._announce_leaving)
 
-    def _grace_period_s(self) -> float:
+    def _grace_period_s(self, now_ns: int) -> float:
         """Return the seconds from now in which nothing changes.
 
         After a stall during which SIGTERM may have come, less time is left until the close-out.
         """
-        elapsed_s = (self.node.clock.now() - self.begun_at_ns) / NS_PER_S
-        if elapsed_s <= 0:
+        if self.begun_at_ns == now_ns:
             return GRACE_PERIOD_S
+        elapsed_s = (now_ns - self.begun_at_ns) / NS_PER_S
         return min(GRACE_PERIOD_S, max(0.0, self.close_out_after_s - LINGER_S - elapsed_s))
 
     def _announce_leaving(self, linger_s: float = LINGER_S) -> None:
--- a/query_broker/server/host.py
+++ b/query_broker/server/host.py
@@ -81,7 +81,7 @@
     def ready(self) -> bool:
         """Return whether clients should send their requests here."""
 
-    def earliest_signal_ns(self) -> int:
+    def earliest_signal_ns(self, now_ns: int) -> int:
         """Return the earliest time at which a signal that is handled now may have come."""
 
     def stop(self) -> None:
--- a/query_broker/server/node.py
+++ b/query_broker/server/node.py
@@ -158,9 +158,9 @@
         """Return whether clients should send their requests here."""
         return self.endpoint_list_known and not self.closing_announced
 
-    def earliest_signal_ns(self) -> int:
+    def earliest_signal_ns(self, now_ns: int) -> int:
         """Return the earliest time at which a signal that is handled now may have come."""
-        return self.tick_loop.earliest_signal_ns(self.clock.now())
+        return self.tick_loop.earliest_signal_ns(now_ns)
 
     def admit(self, connection: ClientConnection) -> bool:
         """Admit a new connection; False if there is no capacity for it."""
--- a/tests/dispatch/test_shutdown_stalls.py
+++ b/tests/dispatch/test_shutdown_stalls.py
@@ -246,4 +246,4 @@
         rig.node.tick_loop._tick()
         stall(rig, 2 * SIGNAL_DELAY_NS)
         now_ns = rig.node.clock.now()
-        assert rig.node.earliest_signal_ns() >= now_ns
+        assert rig.node.earliest_signal_ns(now_ns) == now_ns
