A connection on which a request lies unread is not evicted for a new one

What callers saw: with all client connections taken, after a stall of the broker or in a crowd, "Connection reset by peer" on a connection on which a request had just been sent.

Cause: a new connection takes the place of the one that has been idle longest as far as this process has read; in a turn of the loop connections are accepted before the others are read (ClientAdmission.evict).

Why this mend holds: the system's buffer of the candidate is looked at before the eviction, and the next candidate is taken where it holds something. At most eight are looked at for one new connection: in a crowd the look at all would take the time that their requests need.

--- a/query_broker/server/client_admission.py
+++ b/query_broker/server/client_admission.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Iterable
 
 from ..protocols.client_connection import ClientConnection
 from .host import NodeContext
 
+# Connections that are looked at for one that can be evicted. In a crowd each new connection looks:
+# to look at all of them would take the time that their requests need.
+MAX_EVICTION_TRIES = 8
+
 
 class ClientAdmission:
     """Owns the set of client connections of a node.
@@ -47,13 +52,15 @@
 
         Otherwise connections that never send a request, or stay open after one, would keep other
         clients out. Broken connections are evicted first, then those without any request, then the
-        one that has been idle longest.
+        one that has been idle longest. One that seems idle may have sent a request that is still
+        unread, after a stall of this process or in a crowd: to close it would lose that request.
         """
-        evicted = min(
+        first = heapq.nsmallest(
+            MAX_EVICTION_TRIES,
             candidates,
             key=lambda client: (not client.broken, client.has_sent_frame, client.last_used_ns),
-            default=None,
         )
+        evicted = next((client for client in first if not client.has_unread_input()), None)
         if evicted is None:
             return False
         self.discard(evicted)
