A connect that came up during a stall of the process is no failed connect

What callers saw: requests rejected at a broker that had stood still for a quarter of a second, though its engines were well; `engine: s-1 at ...: no connection in time` for each of them.

Cause: timers are due before the event loop comes to its sockets. After a stall the timeout ended a connect that the system had completed long before (endpoints/connect.py). A failed connect ejects its engine, and all attempts that wait for the connection fail with it.

Why this mend holds: a timer that fires over 50 ms late shows a stall, and the loop gets 20 ms to come to the socket before the connect is given up. One that never comes up still ends in its time (second test).

Measured: the new test fails each time without the mend; test_stalls, test_engine_connection_races, test_engine_connections and test_attempt_results pass.

--- a/query_broker/endpoints/connect.py
+++ b/query_broker/endpoints/connect.py
@@ -15,6 +15,47 @@
 NS_PER_S = 1e9
 
 
+# A timer that fires later than this shows a stall of this process.
+STALL_S = 0.05
+# Time in which the event loop comes to its sockets after a stall.
+AFTER_STALL_S = 0.02
+
+
+class ConnectTimer:
+    """Ends a connect after a time, but not before the event loop has looked at its socket.
+
+    After a stall of this process the timer is due before the loop comes to the sockets. The
+    connection may have come up long ago: to count that as a failed connect would eject an endpoint
+    that is well, and reject the requests that wait for the connection.
+    """
+
+    def __init__(self, limit: asyncio.Timeout, timeout_s: float) -> None:
+        """Start the timer.
+
+        Args:
+            limit: Ends the connect once it is rescheduled to the present time.
+            timeout_s: Seconds until then.
+        """
+        self._limit = limit
+        self._loop = asyncio.get_running_loop()
+        self._due_s = self._loop.time() + timeout_s
+        self._handle = self._loop.call_at(self._due_s, self._fire)
+
+    def cancel(self) -> None:
+        """Stop the timer: the connect has ended."""
+        self._handle.cancel()
+
+    def _fire(self) -> None:
+        now_s = self._loop.time()
+        if now_s - self._due_s > STALL_S:
+            self._handle = self._loop.call_later(AFTER_STALL_S, self._expire)
+        else:
+            self._expire()
+
+    def _expire(self) -> None:
+        self._limit.reschedule(self._loop.time())
+
+
 class ConnectError(QueryBrokerError):
     """No connection came up.
 
@@ -64,8 +105,12 @@
     """
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_ns / NS_PER_S):
-            _, connection = await loop.create_connection(make_connection, *address)
+        async with asyncio.timeout(None) as limit:
+            timer = ConnectTimer(limit, timeout_ns / NS_PER_S)
+            try:
+                _, connection = await loop.create_connection(make_connection, *address)
+            finally:
+                timer.cancel()
     except TimeoutError:
         raise ConnectError(address, "no connection in time") from None
     except OSError as error:
--- a/tests/dispatch/test_stalls.py
+++ b/tests/dispatch/test_stalls.py
@@ -3,17 +3,24 @@
 from __future__ import annotations
 
 import socket
+import time
 
 import pytest
 
+from query_broker.discovery.event_codec import Address
+from query_broker.endpoints.connect import ConnectError, connect
 from query_broker.protocols import client_frames as frames
+from query_broker.protocols.engine_connection import EngineConnection
 
-from ..protocols.scripted_engines import broker_with_engines
+from ..protocols.scripted_engines import broker_with_engines, first_pool
+from ..support.helpers import MS
 from ..support.sockets import Engine, on_uvloop, until
 from .request_frames import read_to_the_end_of, request_frame
 
 pytestmark = pytest.mark.real_time
 
+CONNECT_TIMEOUT_NS = 100 * MS
+NS_PER_S = 1e9
 SERVED_ANSWER = frames.answer(1, frames.SERVED, {}, b"a\tb\tc\n")
 
 
@@ -36,3 +43,44 @@
             assert admission.has_place()  # the loop has had no turn since
             await read_to_the_end_of(raw, SERVED_ANSWER)
             assert await idle.ended()
+
+
+@on_uvloop
+async def test_a_connection_that_came_up_during_a_stall_is_no_failed_connect() -> None:
+    """A broker that stood still while it connected took the engine for one that is down.
+
+    `engine: s-1 at 127.0.0.1:...: no connection in time` in the log, though the system had the
+    connection within a millisecond: the timer was due before the loop came to the socket. The
+    engine was ejected, and requests that waited for the connection were rejected.
+    """
+    async with broker_with_engines(Engine()) as rig:
+        pool = first_pool(rig)
+        events = rig.node.dispatcher.connection_events
+
+        def make_connection() -> EngineConnection:
+            time.sleep(2 * CONNECT_TIMEOUT_NS / NS_PER_S)  # the timer runs by now
+            return EngineConnection(events, pool.number)
+
+        address = Address(pool.target.host, pool.target.port)
+        connection = await connect(make_connection, address, CONNECT_TIMEOUT_NS)
+        assert not connection.closed
+        connection.close()
+
+
+@on_uvloop
+async def test_a_connect_that_never_comes_up_ends_in_its_time() -> None:
+    """An engine that is cut off answers nothing: its backlog is full here."""
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        host, port = listener.getsockname()
+        filling = [socket.socket() for _ in range(4)]
+        for other in filling:
+            other.setblocking(False)
+            other.connect_ex((host, port))
+        async with broker_with_engines(Engine()) as rig:
+            events = rig.node.dispatcher.connection_events
+            with pytest.raises(ConnectError, match="no connection in time"):
+                await connect(lambda: EngineConnection(events, 1), Address(host, port), 50 * MS)
+        for other in filling:
+            other.close()
