A health check whose answer lies unread after a stall is no timeout

Cause: the timeout is due at the first tick after a stall, before the event loop comes to the sockets, where the answer lies (HealthChecks._time_out).

Why this mend holds: a timeout that is due over 50 ms late is put off by 20 ms, in which the loop comes to its sockets; without an answer it ends then.

--- a/query_broker/dispatch/health_checks.py
+++ b/query_broker/dispatch/health_checks.py
@@ -14,6 +14,10 @@
 
 # The tag of a health check on the wire; the endpoint repeats it in its answer.
 TAG_FORMAT = b"probe-%d"
+# A timer that fires later than this shows a stall of this process.
+STALL_NS = 50_000_000
+# Time in which the event loop comes to its sockets after a stall.
+AFTER_STALL_NS = 20_000_000
 
 
 class PendingCheck(NamedTuple):
@@ -53,14 +57,24 @@
         """Send a health check to an endpoint; its timeout is that of a connect."""
         tag = TAG_FORMAT % next(self._numbers)
         self.pending[tag] = PendingCheck(endpoint, now_ns)
-        self._timer_wheel.set_timer(
-            now_ns + self._context.config.connect_timeout_ns, partial(self._time_out, endpoint, tag)
-        )
+        self._set_timer(now_ns + self._context.config.connect_timeout_ns, endpoint, tag)
         pool = self._context.pools.get(endpoint)
         if pool is not None:
             pool.send_health_check(tag, now_ns)
 
-    def _time_out(self, endpoint: int, tag: bytes) -> None:
+    def _set_timer(self, due_ns: int, endpoint: int, tag: bytes) -> None:
+        self._timer_wheel.set_timer(due_ns, partial(self._time_out, endpoint, tag, due_ns))
+
+    def _time_out(self, endpoint: int, tag: bytes, due_ns: int) -> None:
+        """End a health check without an answer.
+
+        After a stall of this process the timer is due before the loop comes to the sockets, where
+        the answer may lie: to time out then would eject an endpoint that is well.
+        """
+        now_ns = self._clock.now()
+        if tag in self.pending and now_ns - due_ns > STALL_NS:
+            self._set_timer(now_ns + AFTER_STALL_NS, endpoint, tag)
+            return
         pool = self._context.pools.get(endpoint)
         if pool is not None:
             pool.forget_health_check(tag)
--- a/tests/dispatch/test_stalls.py
+++ b/tests/dispatch/test_stalls.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import time
 
 import pytest
 
+from query_broker.decisions.facade import AttemptResult, HealthCheckResult
 from query_broker.discovery.event_codec import Address
 from query_broker.endpoints.connect import ConnectError, connect
 from query_broker.protocols import client_frames as frames
+from query_broker.protocols import resp
 from query_broker.protocols.engine_connection import EngineConnection
 
 from ..protocols.scripted_engines import broker_with_engines, first_pool
@@ -84,3 +87,34 @@
                 await connect(lambda: EngineConnection(events, 1), Address(host, port), 50 * MS)
         for other in filling:
             other.close()
+
+
+@on_uvloop
+async def test_an_answer_to_a_health_check_that_lies_unread_is_no_timeout(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A broker that stood still over a health check ejected an engine that had answered it."""
+
+    def script(engine: Engine, parts: list[bytes], writer: asyncio.StreamWriter) -> None:
+        if parts[0] == b"top":
+            writer.write(resp.encode(parts[1], b"green", b"meter=q:2", b""))
+        else:
+            engine.answer_served(parts, writer)
+
+    engine = Engine(script)
+    async with broker_with_engines(engine) as rig:
+        client = await rig.client()
+        client.ask()
+        assert (await client.answer())[1] == frames.SERVED  # a connection is up
+        results: list[AttemptResult] = []
+        dispatcher = rig.node.dispatcher
+
+        def record(event: HealthCheckResult) -> None:
+            results.append(event.result)
+
+        monkeypatch.setattr(dispatcher, "report_event", record)
+        dispatcher.health_checks.start(dispatcher.now(), first_pool(rig).number)
+        rig.node.clock.anchor += 2 * dispatcher.config.connect_timeout_ns
+        dispatcher.tick()  # the loop has had no turn since
+        await until(lambda: results)
+        assert results == [AttemptResult.SERVED]
