An attempt is not cancelled as overdue before the answers of a stall have been read

Cause: the review of overdue attempts is a timer a second or more after the dispatch. After a stall of the process it is due before the sockets are read; an attempt whose answer lay unread was cancelled, and under pressure there is no retry (RetryPolicy._cancel_if_overdue).

Why this mend holds: a review whose timer is over two ticks late is put off by one tick, in which the loop comes to its sockets. Timers in time act as before.

--- a/query_broker/decisions/retries.py
+++ b/query_broker/decisions/retries.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from .accounting import Attempt
 from .active_settings import ActiveSettings
 from .dispatching import AttemptDispatcher
@@ -26,6 +28,8 @@
 REVIEW_MULTIPLE = 6.0
 # Factor by which that multiple grows with each attempt: the next one may need more time.
 REVIEW_BACKOFF = 2
+# Ticks by which a timer may be late before that shows a stall of this process.
+MAX_TIMER_DELAY_TICKS = 2
 
 
 class RetryPolicy:
@@ -86,12 +90,41 @@
             expected_ns = request.statistics.expected_latency(request.work_ns)
             expected_ns /= self.slow_start.capacity_fraction(now_ns, endpoint)
             due_ns = now_ns + int(HEDGE_MULTIPLE * expected_ns)
-            self.orders.set_timer(due_ns, self._hedge_if_late, request, attempt.number)
+            self._set_review(due_ns, self._hedge_if_late, request, attempt.number)
         if limits.cancellation:
             multiple = REVIEW_MULTIPLE * REVIEW_BACKOFF**attempt.number
             wait_ns = int(multiple * request.run_time() * max(1.0, endpoint.slowdown))
             due_ns = now_ns + max(wait_ns, self.active.shortest_objective_ns)
-            self.orders.set_timer(due_ns, self._cancel_if_overdue, request, attempt.number)
+            self._set_review(due_ns, self._cancel_if_overdue, request, attempt.number)
+
+    def _set_review(
+        self,
+        due_ns: int,
+        review: Callable[[int, Request, int], None],
+        request: Request,
+        number: int,
+    ) -> None:
+        self.orders.set_timer(due_ns, self._review, due_ns, review, request, number)
+
+    def _review(
+        self,
+        now_ns: int,
+        due_ns: int,
+        review: Callable[[int, Request, int], None],
+        request: Request,
+        number: int,
+    ) -> None:
+        """Timer: review an attempt, but not before the answers of a stall have been read.
+
+        After a stall of this process its timers are due before its sockets are read. An attempt
+        whose answer lies there unread would be cancelled, and under pressure it is not retried: its
+        request would be rejected. By the next tick the answers have been read.
+        """
+        tick_ns = self.active.settings.tick_ns
+        if now_ns - due_ns > MAX_TIMER_DELAY_TICKS * tick_ns:
+            self.orders.set_timer(now_ns + tick_ns, review, request, number)
+        else:
+            review(now_ns, request, number)
 
     def _hedge_if_late(self, now_ns: int, request: Request, number: int) -> None:
         """Timer: hedge a late attempt, whose answer may be lost or whose endpoint overloaded.
