A status file with numbers that are none is rejected, and raises out of no callback

What callers may see, by the code: during an upgrade beside a foreign process that writes `"clients": Infinity`, timers of this process are lost, since the poll that raises is one.

Cause: int of an infinity raises OverflowError, which the codec did not expect (status_from_fields). Booleans for numbers, negative counts, numbers past 2^63 and a key that stands twice were read.

--- a/query_broker/server/process_status.py
+++ b/query_broker/server/process_status.py
@@ -23,6 +23,10 @@
 KEY_OUTSTANDING_WORK = "out"
 KEY_CELLS = "cells"
 KEY_CHECKSUM = "sum"
+# Largest absolute value of a number.
+MAX_INTEGER = (1 << 63) - 1
+NO_NUMBER = "a value is no number in range"
+NO_BOOLEAN = "a value is neither true nor false"
 
 
 class StatusFormatError(QueryBrokerError, ValueError):
@@ -77,7 +81,7 @@
         StatusFormatError: The text is no status, or only a part of one.
     """
     try:
-        fields = json.loads(text)
+        fields = json.loads(text, object_pairs_hook=_object_without_duplicates)
         expected = fields.pop(KEY_CHECKSUM, None)
         intact = expected in (None, checksum(fields))
     except (ValueError, TypeError, AttributeError, RecursionError) as error:
@@ -97,14 +101,15 @@
         states = fields.get(KEY_ADMINISTRATIVE_STATES, {}).items()
         work = fields.get(KEY_OUTSTANDING_WORK, {}).items()
         return ProcessStatus(
-            accepting=bool(fields.get(KEY_ACCEPTING, False)),
-            clients=int(fields.get(KEY_CLIENTS, 0)),
+            accepting=_boolean(fields.get(KEY_ACCEPTING, False)),
+            clients=_count(fields.get(KEY_CLIENTS, 0)),
             administrative_states={
-                str(uid): AdministrativeState(int(given_ns), bool(disabled))
+                uid: AdministrativeState(_integer(given_ns), _boolean(disabled))
                 for uid, (given_ns, disabled) in states
             },
             outstanding_work={
-                int(number): OutstandingWork(*map(int, amounts)) for number, amounts in work
+                _integer(int(number)): OutstandingWork(*map(_integer, amounts))
+                for number, amounts in work
             },
             cells=fields.get(KEY_CELLS),
         )
@@ -112,6 +117,52 @@
         raise StatusFormatError(str(error)) from error
 
 
+def _object_without_duplicates(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    """Make an object of its pairs; no process of this broker writes a key twice."""
+    fields = dict(pairs)
+    if len(fields) < len(pairs):
+        problem = "a key stands twice"
+        raise ValueError(problem)
+    return fields
+
+
+def _integer(value: Any) -> int:
+    """Return a number as an integer.
+
+    Infinity and NaN are numbers of JSON for this reader, and `int` raises another error for each;
+    the sums of such fields go into the limits of this process.
+
+    Raises:
+        TypeError: It is no number.
+        ValueError: It is not finite, or larger than any count or time.
+    """
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(NO_NUMBER)
+    is_in_range = abs(value) <= MAX_INTEGER  # false of NaN too
+    if not is_in_range:
+        raise ValueError(NO_NUMBER)
+    return int(value)
+
+
+def _count(value: Any) -> int:
+    """Return a number that is not negative; the errors are those of `_integer`."""
+    count = _integer(value)
+    if count < 0:
+        raise ValueError(NO_NUMBER)
+    return count
+
+
+def _boolean(value: Any) -> bool:
+    """Return a boolean.
+
+    Raises:
+        TypeError: It is none.
+    """
+    if not isinstance(value, bool):
+        raise TypeError(NO_BOOLEAN)
+    return value
+
+
 def checksum(fields: Mapping[str, Any]) -> int:
     """Return the CRC-32 of the fields as JSON text, in their order."""
     return zlib.crc32(json.dumps(fields).encode())
