An event of the endpoint list with numbers out of range is rejected before it counts

What callers may see, by the code: requests sent to an engine that drains, since the event was lost.

Cause: a capacity of NaN passed the codec and raised in the decisions, after the number of the event counted as the latest known one; the event was never requested again. A state that is a list and a port of thousands of digits raised other errors than the codec's.

Why this mend holds: the codec checks type and range, and the line is rejected as others that cannot be read; a seeded fuzz test puts hostile values in every place of an event and applies what is read to a dispatcher.

Measured: the fuzz test and three cases of six fail without the mend; decoders and discovery, 29 passed.

--- a/query_broker/discovery/event_codec.py
+++ b/query_broker/discovery/event_codec.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import json
+import math
 from dataclasses import dataclass
 from typing import Any, NamedTuple, NewType
 
@@ -28,6 +29,9 @@
 QUOTED_BYTES = 80
 NS_PER_MS = 1_000_000
 MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
+#: Largest start of an endpoint, in ms; further ones are past the range of 64 bits in ns.
+MAX_BOOT_MS = (1 << 63) // 1_000_000
 
 #: The offset of the latest event that there is, as a heartbeat names it.
 Heartbeat = NewType("Heartbeat", int)
@@ -108,8 +112,10 @@
         InvalidEventError: The text isn't in that form.
     """
     host, colon, port = str(text).rpartition(":")
-    if not colon or not host or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
-        raise InvalidEventError(problem=f"{text!r} is no address host:port")
+    is_number = port.isdecimal() and len(port) <= MAX_PORT_DIGITS
+    if not colon or not host or not is_number or not 0 < int(port) <= MAX_PORT:
+        quoted = repr(text)[:QUOTED_BYTES]
+        raise InvalidEventError(problem=f"{quoted} is no address host:port")
     return Address(host.strip("[]"), int(port))
 
 
@@ -183,7 +189,7 @@
     if not isinstance(uid, str) or not uid:
         raise InvalidEventError(problem="a target without its uid")
     state = raw.get("state")
-    if state not in STATES:
+    if not isinstance(state, str) or state not in STATES:
         raise InvalidEventError(problem=f"unknown state {state!r}", uid=uid)
     return _listed_endpoint(uid, STATES[state], raw)
 
@@ -191,6 +197,9 @@
 def _listed_endpoint(uid: str, state: EndpointState, raw: dict[str, Any]) -> ListedEndpoint:
     address = _parse_target_address(state, raw.get("endpoint"))
     try:
+        weight = float(raw.get("capacity_hint") or 1.0)
+        started_ms = int(raw.get("boot_ms") or 0)
+        _check_range(weight, started_ms)
         return ListedEndpoint(
             uid=uid,
             host=address.host,
@@ -199,13 +208,27 @@
             kind=str(raw.get("model") or ""),
             cell=int(raw.get("pod_group") or 0),
             state=state,
-            weight=float(raw.get("capacity_hint") or 1.0),
-            started_ns=int(raw.get("boot_ms") or 0) * NS_PER_MS,
+            weight=weight,
+            started_ns=started_ms * NS_PER_MS,
         )
     except (TypeError, ValueError, OverflowError) as error:
         raise InvalidEventError(problem=str(error), uid=uid) from None
 
 
+def _check_range(weight: float, started_ms: int) -> None:
+    """Check the numbers of an endpoint.
+
+    One that is no finite number fails in the decisions, after its event counts as applied: the
+    event, perhaps a drain, would be lost.
+
+    Raises:
+        ValueError: The weight is not finite, or the start is out of range.
+    """
+    if not math.isfinite(weight) or abs(started_ms) > MAX_BOOT_MS:
+        problem = "capacity_hint or boot_ms is out of range"
+        raise ValueError(problem)
+
+
 def _parse_target_address(state: EndpointState, text: Any) -> Address:
     if state is EndpointState.REMOVED and not text:
         return NO_ADDRESS
