A fault in an operators' call is answered 500 and logged, not taken for a bad call

What callers saw: an operator whose call met a fault of the broker got 400, and the log said nothing.

Cause: the parser wraps what its callbacks raise in an error of its own, and the connection took each such error for a call that cannot be read (OperatorConnection.data_received).

Why this mend holds: errors of callbacks are told apart by the parser's own class: 500, one fault line with the trace, the connection ends, and the next call works.

--- a/query_broker/protocols/operator_http.py
+++ b/query_broker/protocols/operator_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 from typing import Protocol, cast
 
 import httptools
@@ -91,16 +92,25 @@
             pass  # the call is complete; nothing else is spoken here
         except OperatorCallError as error:
             self._write(error.answer())
-        except httptools.HttpParserError as error:
+        except httptools.HttpParserCallbackError as error:
             # The parser wraps what our own callbacks raise.
-            cause = error.__context__
-            if isinstance(cause, OperatorCallError):
-                self._write(cause.answer())
-            else:
-                self._write(text_answer(400, "this is no call in HTTP/1.1"))
+            self._answer_callback_error(error.__context__)
+        except httptools.HttpParserError:
+            self._write(text_answer(400, "this is no call in HTTP/1.1"))
         except Exception as error:  # no input may raise out of a callback
-            self.operations.log("operator", f"{type(error).__name__}: {error}")
-            self._write(text_answer(500, "internal error"))
+            self._answer_callback_error(error)
+
+    def _answer_callback_error(self, error: BaseException | None) -> None:
+        """Answer a call that cannot be carried out, or one in which the program has a fault.
+
+        A fault is not the caller's: answered with 400 and not logged, it would be looked for at the
+        caller.
+        """
+        if isinstance(error, OperatorCallError):
+            self._write(error.answer())
+            return
+        self.operations.log("fault", "".join(traceback.format_exception(error)))
+        self._write(text_answer(500, "internal error"))
 
     def eof_received(self) -> bool:
         """Answer an incomplete call; a caller may end its side and still get the answer."""
--- a/tests/decoders/test_process_status.py
+++ b/tests/decoders/test_process_status.py
@@ -1,7 +1,7 @@
 """Status files of other processes with any values: read, or rejected with one error.
 
-A file with `"clients": Infinity` raised OverflowError out of the poll, which is a timer, ten times a
-second: a `fault` line each time, and the timers of the same tick that came after it never fired.
+A file with `"clients": Infinity` raised OverflowError out of the poll, which is a timer, ten times
+a second: a `fault` line each time, and the timers of the same tick that came after it never fired.
 """
 
 from __future__ import annotations
--- a/tests/server/test_admin_api.py
+++ b/tests/server/test_admin_api.py
@@ -262,3 +262,25 @@
         assert (await client.answer())[1] == frames.SERVED
         first, again = engine.commands_named(b"do")
         assert engine.writer_of(first) is not engine.writer_of(again)
+
+
+@on_uvloop
+async def test_a_fault_in_an_operators_call_is_logged_and_answered_with_500(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The parser wraps what its callbacks raise: a fault of ours was answered 400, and not logged.
+
+    The operators looked for the fault in their own call.
+    """
+    async with running(make_config(operator=True)) as rig:
+
+        def fail() -> bool:
+            raise KeyError("endpoint")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(rig.node.admin_api, "ready", fail)
+            assert (await admin_call(rig, READY_CALL)).status == 500
+        faults = [line for line in rig.logged if line.startswith("fault: ")]
+        assert len(faults) == 1
+        assert "KeyError: 'endpoint'" in faults[0]
+        assert (await admin_call(rig, READY_CALL)).status == 200
