Null in place of the report fields is one line that names the key, at the start and at SIGHUP

What callers saw: operators got a traceback in place of one line with file and key, and no broker.

Cause: the reader took null for absent and accepted the settings; the remarks on them then iterated over the raw value (broker_config._report_remarks).

Why this mend holds: null in place of this list is an error, and the remarks read the list as the settings do.

--- a/query_broker/config/broker_config.py
+++ b/query_broker/config/broker_config.py
@@ -9,7 +9,7 @@
 from ..decisions import Settings
 from ..discovery.event_codec import EndpointListEvent
 from .schema import IGNORED_SETTINGS_KEYS, KNOWN_REPORT_FIELDS, REPORT_KEY, SETTINGS_KEYS
-from .values import Section
+from .values import Section, ValueKind
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,8 +84,7 @@
 
 
 def _report_remarks(settings: Mapping[str, Any]) -> Iterator[str]:
-    report = settings.get(REPORT_KEY) or {}
-    for name in report.get("fields", []):
+    for name in Section(settings).section(REPORT_KEY).list_of("fields", ValueKind.TEXT):
         if name not in KNOWN_REPORT_FIELDS:
             yield (
                 f"settings.report.fields: {name!r} is no value that is known here, and has no "
--- a/query_broker/config/platform_settings.py
+++ b/query_broker/config/platform_settings.py
@@ -49,8 +49,7 @@
     contract = root.section("contract")
     charges = root.section("charges")
     classes = root.entries("classes")
-    # Nothing uses the fields of load reports, but a list of another kind is an error.
-    root.section(REPORT_KEY).list_of("fields", ValueKind.TEXT)
+    _check_report(root.section(REPORT_KEY))
     fleet_size = root.integer("fleet_size")
     return Settings(
         classes=_request_classes(classes, specifics),
@@ -70,6 +69,16 @@
     )
 
 
+def _check_report(report: Section) -> None:
+    """Check the fields of load reports, which nothing uses: a list of another kind is an error.
+
+    So is null, which the platform has no meaning for here: whoever has written it meant a list.
+    """
+    if "fields" in report.values and not report.holds("fields"):
+        raise InvalidValueError(report.key("fields"), "null is no list")
+    report.list_of("fields", ValueKind.TEXT)
+
+
 def _fields(section: Section, fields: Mapping[str, SettingsField]) -> dict[str, Any]:
     """The fields whose keys are present; those of absent keys keep the dataclass's defaults."""
     return {
