A load report whose values are not finite is rejected, and its answer stays valid

What callers may see, by the code: an engine that reports an infinite load counts as under pressure until its next report, so that retries pass it by and new requests may be rejected there.

Cause: the reader took nan and inf for numbers (resp.read_load_report).

Why this mend holds: such a report is malformed, logged, and its answer remains valid, as for any other text.

--- a/query_broker/protocols/resp.py
+++ b/query_broker/protocols/resp.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 
 from .errors import ProtocolError
@@ -157,11 +158,17 @@
 def read_load_report(raw: str) -> dict[str, float]:
     """Read a load report, such as ``inflight:7;util:0.61``.
 
+    A value that is not finite is none: an infinite load would count as pressure on an endpoint that
+    may be idle.
+
     Raises:
-        MalformedAnswerError: The text is no list of ``name:value``, or a value is no number.
+        MalformedAnswerError: The text is no list of ``name:value``, or a value is no finite number.
     """
+    reason = f"meter {raw[:QUOTED_CHARACTERS]!r} holds no numbers"
     try:
-        return {name: float(value) for name, value in read_pairs(raw.encode(), ";", ":").items()}
+        report = {name: float(value) for name, value in read_pairs(raw.encode(), ";", ":").items()}
     except ValueError:
-        reason = f"meter {raw[:QUOTED_CHARACTERS]!r} holds no numbers"
         raise MalformedAnswerError(reason) from None
+    if not all(math.isfinite(value) for value in report.values()):
+        raise MalformedAnswerError(reason)
+    return report
