--- a/query_broker/emulator/clients.py
+++ b/query_broker/emulator/clients.py
@@ -150,7 +150,7 @@
         record.retry_after_ms = int(fields.get("pause", 0))
 
 
-def _statement(number: int, work_ms: float, threads: int, rows: int, table_group: int) -> bytes:
+def make_statement(number: int, work_ms: float, threads: int, rows: int, table_group: int) -> bytes:
     """Return a statement whose comment says to the emulated engine how to run it."""
     hints = f"id={number} work={work_ms:.0f} threads={threads} rows={rows}"
     return f"SELECT * FROM sales_{table_group}.orders /* {hints} */".encode()
@@ -217,7 +217,7 @@
         now_ns = time.time_ns()
         record = RequestRecord(request_id, tenant, request_class, now_ns, timeout_ns)
         record.idempotency_key = idempotency_key
-        statement = _statement(number, work_ms, threads, rows, table_group)
+        statement = make_statement(number, work_ms, threads, rows, table_group)
         client = await self._find_client()
         self.records.append(record)
         if client is not None:
