An error in one timer takes no other timer of its tick with it

What callers may see, by the code: after a fault line, attempts that never time out.

Cause: the timers of a tick left the wheel together; an error in one left the loop, and those behind it never fired (TimerWheel._fire).

Why this mend holds: the timers behind the error are put into the next tick, the same objects, so that a cancelled one stays cancelled; the error is logged as before.

Measured: the new test fails without the mend; test_timer_wheel, 9 passed.

--- a/query_broker/timer_wheel.py
+++ b/query_broker/timer_wheel.py
@@ -143,6 +143,22 @@
             for timer in timers
             if timer.due_tick > current_tick and timer.call is not _nothing
         ]
-        for timer in timers:
-            if timer.due_tick <= current_tick:
+        for position, timer in enumerate(timers):
+            if timer.due_tick > current_tick:
+                continue
+            try:
                 timer.call()
+            except Exception:
+                self._postpone(timers[position + 1 :])
+                raise
+
+    def _postpone(self, timers: list[Timer]) -> None:
+        """Let timers fire at the next tick, since the call of one before them has raised.
+
+        An attempt whose timeout was lost would never end.
+        """
+        next_tick = self._current_tick + 1
+        for timer in timers:
+            if timer.due_tick < next_tick:
+                timer.due_tick = next_tick
+                self._slots[next_tick % self.SLOTS].append(timer)
--- a/tests/dispatch/test_timer_wheel.py
+++ b/tests/dispatch/test_timer_wheel.py
@@ -95,3 +95,23 @@
             timers.idle_ns(now * MS, 250 * MS)
     assert len(late) == len(plan)
     assert all(0 <= delay <= 10 for delay in late)
+
+
+def test_an_error_in_one_timer_takes_no_other_timer_with_it() -> None:
+    """The timers of the same tick that came after it were lost, timeouts of attempts among them."""
+    timers = TimerWheel(5 * MS, 0)
+    fired: list[str] = []
+
+    def fail() -> None:
+        raise LookupError
+
+    timers.set_timer(10 * MS, partial(fired.append, "before"))
+    timers.set_timer(10 * MS, fail)
+    timers.set_timer(10 * MS, partial(fired.append, "behind"))
+    cancelled = timers.set_timer(10 * MS, partial(fired.append, "cancelled"))
+    timers.set_timer(15 * MS, partial(fired.append, "later"))
+    with pytest.raises(LookupError):
+        timers.advance(10 * MS)
+    cancelled.cancel()
+    timers.advance(15 * MS)
+    assert fired == ["before", "later", "behind"]
