--- a/query_broker/decisions/endpoint_selection.py
+++ b/query_broker/decisions/endpoint_selection.py
@@ -71,11 +71,6 @@
     def _may_retry_at(self, now_ns: int, request: Request, endpoint: TrackedEndpoint) -> bool:
         if not self.eligibility.allows(now_ns, request, endpoint):
             return False
-        # An endpoint knows an attempt by the request's id alone: it would drop a second one, or mix
-        # the pages of both results.
-        number = endpoint.entry.endpoint
-        if any(attempt.endpoint == number for attempt in request.in_flight.values()):
-            return False
         if self.pool.large_fleet or request.error_endpoints:
             return self.capacity.fits(now_ns, request, endpoint)
         return not endpoint.is_pressed(now_ns)
