--- a/tests/protocols/test_engine_connections.py
+++ b/tests/protocols/test_engine_connections.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 
 import pytest
 
-from query_broker.discovery.event_codec import parse_event
+from query_broker.discovery.event_codec import Address, parse_event
 from query_broker.dispatch.dispatcher import Dispatcher
 from query_broker.dispatch.requests import ActiveRequest, Attempt
 from query_broker.endpoints import connection_choice
+from query_broker.endpoints.connect import connect
 from query_broker.endpoints.connection_pool import LATE_ANSWER_NS
 from query_broker.protocols import client_frames as frames
 from query_broker.protocols import resp
+from query_broker.protocols.engine_connection import EngineConnection
 from query_broker.timer_wheel import Clock
 
 from ..dispatch.recording_client import RecordingClient
@@ -204,3 +207,27 @@
     broker = Dispatcher(config, Clock(), lambda kind, text: None)
     assert broker.pools.max_connections == max_connections
     assert max_connections + sockets // 3 + 24 <= sockets
+
+
+@on_uvloop
+async def test_a_connection_to_an_address_that_the_endpoint_has_left_gets_no_attempt(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Past fix e317172: another endpoint may listen there by now."""
+    former, present = Engine(), Engine()
+    present_port = await present.start()
+    async with broker_with_engines(former) as rig:
+        pool = first_pool(rig)
+
+        async def connect_and_move(
+            make_connection: Callable[[], EngineConnection], address: Address, timeout_ns: int
+        ) -> EngineConnection:
+            connection = await connect(make_connection, address, timeout_ns)
+            pool.update_target(replace(pool.target, port=present_port))
+            return connection
+
+        monkeypatch.setattr("query_broker.endpoints.connection_pool.connect", connect_and_move)
+        client = await rig.client()
+        client.ask(route="stock-add", patience="20000")
+        assert (await client.answer())[1] in (frames.SERVED, frames.REFUSED)
+        assert not former.commands_named(b"do")
