Search statements that break off within a string in linear time

Cause: the string branch of the search for the data set could not match where the statement ends in a lone backslash. It failed at the opening quote after reading to the end, and was then tried at each escaped quote, so the time grew with the square of the length.

Change: what is cut off before its closing quote ends with the statement, so no branch fails to match after a long read; possessive quantifiers keep no positions to return to. The statements of the second client protocol, which nothing loads, had the same fault at every string that is not closed.

--- a/query_broker/clickhouse/statement.py
+++ b/query_broker/clickhouse/statement.py
@@ -17,14 +17,14 @@
 WORD = re.compile(r"[A-Za-z_][A-Za-z0-9_]*")
 IDENTIFIER = r"(?:`[^`]+`|\"[^\"]+\"|[A-Za-z_]\w*)"
 TABLE_NAME = re.compile(rf"{IDENTIFIER}(?:\s*\.\s*{IDENTIFIER})?")
-MAIN_VERB_TOKEN = re.compile(
-    r"'(?:[^'\\]|\\.|'')*'|`[^`]*`|\"[^\"]*\"|--[^\n]*|/\*.*?\*/|[()]|\b(?:SELECT|INSERT)\b",
-    re.S | re.I,
-)
-CLAUSE_TOKEN = re.compile(
-    r"'(?:[^'\\]|\\.|'')*'|`[^`]*`|\"[^\"]*\"|--[^\n]*|/\*.*?\*/|\b(?:SETTINGS|FORMAT)\b|[();]",
-    re.S | re.I,
+#: Strings, quoted names and comments, in which no keyword counts. A string or comment that is cut
+#: off ends with the text: if it failed to match there, each quote in it would be tried as the start
+#: of another string, and the time would grow with the square of the length.
+QUOTED_OR_COMMENT = (
+    r"'(?:[^'\\]++|\\.|'')*+(?:'|\\?\Z)|`[^`]*`|\"[^\"]*\"|--[^\n]*|/\*.*?(?:\*/|\Z)"
 )
+MAIN_VERB_TOKEN = re.compile(rf"{QUOTED_OR_COMMENT}|[()]|\b(?:SELECT|INSERT)\b", re.S | re.I)
+CLAUSE_TOKEN = re.compile(rf"{QUOTED_OR_COMMENT}|\b(?:SETTINGS|FORMAT)\b|[();]", re.S | re.I)
 FORMAT_NAME = re.compile(r"\s+([A-Za-z]\w*)")
 #: One setting: its name, its value, and a comma if another setting follows.
 ASSIGNMENT = re.compile(r"\s*([A-Za-z_]\w*)\s*=\s*('(?:[^'\\]|\\.)*'|-?[\w.]+)\s*(,?)")
--- a/query_broker/protocols/statement.py
+++ b/query_broker/protocols/statement.py
@@ -6,9 +6,13 @@
 
 # Strings and comments are matched first, so that nothing in them is mistaken for a schema name.
 # Text in double quotes or backticks is a schema name only if a dot follows.
+# What is cut off before its closing quote ends with the statement. If it failed to match instead,
+# each quote in it would be tried as the start of another token, and the time could grow with the
+# square of the length. The possessive quantifiers (`++`, `*+`) keep no positions to return to.
 _TOKEN = re.compile(
-    rb"""'(?:[^'\\]|''|\\.)*(?:'|\Z) | --[^\n]* | /\*.*?(?:\*/|\Z)
-       | "(?P<quoted>(?:[^"]|"")*)"(?P<dot>\s*\.)? | `(?P<ticked>[^`]*)`(?P<tick_dot>\s*\.)?
+    rb"""'(?:[^'\\]++|''|\\.)*+(?:'|\\?\Z) | --[^\n]*+ | /\*.*?(?:\*/|\Z)
+       | "(?P<quoted>(?:[^"]++|"")*+)(?:"(?P<dot>\s*\.)?|\Z)
+       | `(?P<ticked>[^`]*+)(?:`(?P<tick_dot>\s*\.)?|\Z)
        | (?<![\w.$]) (?P<bare>[A-Za-z_]\w*) \s* \. \s* (?=[A-Za-z_"`])""",
     re.X | re.S,
 )
