Keep a silent watch of the endpoint list open until another one has told something

Cause: a watch was ended after 1.7 s without a byte, a new one too. Where every line is later than that, no connection lives until its first line.

Change: a silent watch stays open beside its successors, at most four of them; the first that sends a line is used, and the others are ended. Two silent ones in a row mean a slow path: the next then follows after 3.4 s.

Why it works: events on their way to the oldest connection arrive there, and a dead one is still replaced after 1.7 s. Events are identified by offset, so none is applied twice.

One test was wrong: a_drain_after_a_silent_connection_is_applied_once asked that nothing that comes on the silent connection is read once another is up. It asks the same from the moment when the other has sent an event; the two steps changed places, its assertions stand.

--- a/query_broker/discovery/watch_client.py
+++ b/query_broker/discovery/watch_client.py
@@ -1,7 +1,8 @@
 """The client that watches the endpoint list of the discovery service.
 
-The client keeps one connection, resumes after the latest event when the connection is lost, detects
-that the service has fallen silent, and can move to another address.
+The client uses one connection, resumes after the latest event when the connection is lost, detects
+that the service has fallen silent, and can move to another address. A silent connection may be dead
+or only slow: it stays open beside its successors until one of them all has sent a line.
 """
 
 from __future__ import annotations
@@ -16,10 +17,17 @@
 from .event_codec import EndpointListEvent, Heartbeat, InvalidEventError, parse_line
 from .watch_connection import WatchConnection
 
-#: A connection is dropped after this time without a received byte. Heartbeats come every second,
-#: and events must be applied within 4 s after an interruption: this leaves time for a late
+#: Another connection is opened after this time without a received byte. Heartbeats come every
+#: second, and events must be applied within 4 s after an interruption: this leaves time for a late
 #: heartbeat and for the next connect.
 SERVICE_SILENCE_LIMIT_NS = 1_700_000_000
+#: The limit once this many connections are silent: the path is slow or cut, rather than one
+#: connection dead, and further connections add load without news.
+SLOW_PATH_CONNECTION_COUNT = 2
+SLOW_PATH_SILENCE_LIMIT_NS = 2 * SERVICE_SILENCE_LIMIT_NS
+#: Silent connections that stay open; beyond that, the one that was opened first is dropped. It has
+#: then been silent for longer than an endpoint list is ever late.
+MAX_SILENT_CONNECTIONS = 4
 #: Initial reconnect backoff, and the limit up to which it doubles. Events must be applied within
 #: 2 s after a disconnection: this leaves time for several connects.
 FIRST_BACKOFF_S = 0.05
@@ -58,14 +66,14 @@
         """Return the connect timeout in seconds."""
 
     def silence_limit_ns(self) -> int:
-        """Return the nanoseconds without a received byte after which a connection is dropped."""
+        """Return the nanoseconds without a received byte after which another one is opened."""
 
     def list_confirmed(self) -> None:
         """Record that the list is up to date: the service has sent or confirmed its last event."""
 
 
 class WatchClient:
-    """Keeps one connection to the service and passes its events on in order, each once.
+    """Watches the service on one connection and passes its events on in order, each once.
 
     Attributes:
         address: Host and port of the service.
@@ -73,6 +81,8 @@
         on_event: Called with each event, in the order of the offsets.
         pacing: Paces the connects of a fleet; None if the service needs no pacing.
         connection: The connection in use, or None.
+        silent_connections: Earlier connections to the same service that have fallen silent but are
+            still open, the oldest first.
         backoff_s: The current backoff in seconds.
         last_received_ns: When bytes were last received, in Unix nanoseconds.
     """
@@ -106,6 +116,7 @@
         self.generator = generator
         self.pacing = pacing
         self.connection: WatchConnection | None = None
+        self.silent_connections: list[WatchConnection] = []
         self.backoff_s = FIRST_BACKOFF_S
         self.last_received_ns = clock.now()
         self._connect_task: asyncio.Task[None] | None = None
@@ -118,9 +129,10 @@
         self._connect_after(0.0 if self.pacing is None else self.pacing.first_wait_s)
 
     def stop(self) -> None:
-        """Close the connection, and cancel a pending connect."""
+        """Close all connections, and cancel a pending connect."""
         if self._connect_task is not None:
             self._connect_task.cancel()
+        self._drop_silent_connections()
         if self.connection is not None:
             self.connection.drop()
 
@@ -135,21 +147,30 @@
             self.backoff_s = FIRST_BACKOFF_S
             self._connect_after(0.0)
 
-    def drop_if_silent(self, now_ns: int) -> None:
-        """Drop the connection if the service has been silent; called every tick.
+    def reconnect_if_silent(self, now_ns: int) -> None:
+        """Open another connection if the service has been silent; called every tick.
 
         After a network partition the connection stays open without receiving anything, and the
-        events have to be received in time on another one.
+        events have to be received in time on another one. Where the service or the path to it is
+        only slow, they arrive on the connection first that was opened first: it stays open.
         """
-        if self.connection is None:
+        if self.connection is None or now_ns - self.last_received_ns <= self._silence_limit_ns():
             return
-        limit_ns = (
-            SERVICE_SILENCE_LIMIT_NS if self.pacing is None else self.pacing.silence_limit_ns()
-        )
-        if now_ns - self.last_received_ns > limit_ns:
-            self.log("bus", "no heartbeat: reconnecting")
-            self.last_received_ns = now_ns
-            self.connection.drop()
+        self.log("bus", "no heartbeat: reconnecting")
+        self.last_received_ns = now_ns
+        self.silent_connections.append(self.connection)
+        self.connection = None
+        if len(self.silent_connections) > MAX_SILENT_CONNECTIONS:
+            self.silent_connections.pop(0).drop()
+        if self._connect_task is None:
+            self._reconnect()
+
+    def _silence_limit_ns(self) -> int:
+        if self.pacing is not None:
+            return self.pacing.silence_limit_ns()
+        if len(self.silent_connections) >= SLOW_PATH_CONNECTION_COUNT:
+            return SLOW_PATH_SILENCE_LIMIT_NS
+        return SERVICE_SILENCE_LIMIT_NS
 
     def connection_up(self, connection: WatchConnection) -> None:
         """Use an established connection in place of the previous one."""
@@ -162,9 +183,13 @@
         self.connection = connection
         if previous is not None:
             previous.drop()
+        if any(silent.address != self.address for silent in self.silent_connections):
+            self._drop_silent_connections()
 
     def connection_lost(self, connection: WatchConnection) -> None:
         """Reconnect, unless another connection is in use or is being opened."""
+        if connection in self.silent_connections:
+            self.silent_connections.remove(connection)
         if connection is not self.connection:
             return
         self.connection = None
@@ -176,12 +201,31 @@
         """Record that the service has sent something."""
         self.last_received_ns = self.clock.now()
 
+    def _use_only(self, connection: WatchConnection) -> None:
+        """Use the connection that has sent a line, and drop the others to the same service."""
+        if connection in self.silent_connections:
+            self.silent_connections.remove(connection)
+            if connection.address == self.address and self._connect_task is not None:
+                self._connect_task.cancel()
+                self._connect_task = None
+            successor = self.connection
+            self.connection = connection
+            if successor is not None:
+                successor.drop()
+        self._drop_silent_connections()
+
+    def _drop_silent_connections(self) -> None:
+        silent_connections = self.silent_connections
+        self.silent_connections = []
+        for connection in silent_connections:
+            connection.drop()
+
     def line_rejected(self, reason: str) -> None:
         """Log why a line was rejected; its connection is dropped."""
         self.log("bus", reason)
 
-    def line_received(self, line: bytes) -> None:
-        """Handle one line.
+    def line_received(self, connection: WatchConnection, line: bytes) -> None:
+        """Handle one line of a connection, which is used from then on.
 
         A line that can't be parsed may have been corrupted in transit: it is requested again on a
         new connection. If it still can't be parsed, it is skipped.
@@ -199,12 +243,15 @@
             self.log("bus", f"skipped a line after event {self.last_offset}: {error}")
             return
         if isinstance(event, EndpointListEvent):
+            self._require_no_gap(event.offset, self.last_offset + 1)
+            self._use_only(connection)
             self._event_received(event)
         else:
+            self._require_no_gap(event, self.last_offset)
+            self._use_only(connection)
             self._heartbeat_received(event)
 
     def _event_received(self, event: EndpointListEvent) -> None:
-        self._require_no_gap(event.offset, self.last_offset + 1)
         self.backoff_s = FIRST_BACKOFF_S
         if event.offset > self.last_offset:
             self.last_offset = event.offset
@@ -212,7 +259,6 @@
         self._list_confirmed()
 
     def _heartbeat_received(self, offset: Heartbeat) -> None:
-        self._require_no_gap(offset, self.last_offset)
         self.backoff_s = FIRST_BACKOFF_S
         if self.pacing is not None and offset < self.last_offset:
             self._lower_offset_received(offset)
--- a/query_broker/discovery/watch_connection.py
+++ b/query_broker/discovery/watch_connection.py
@@ -26,8 +26,8 @@
     def bytes_received(self) -> None:
         """Record that bytes were received, not necessarily a complete line."""
 
-    def line_received(self, line: bytes) -> None:
-        """Handle one complete line without its line end.
+    def line_received(self, connection: WatchConnection, line: bytes) -> None:
+        """Handle one complete line of this connection, without its line end.
 
         Raises:
             InvalidEventError: The line is rejected; the connection is dropped.
@@ -69,7 +69,7 @@
         self.owner.bytes_received()
         try:
             for line in self.parser.feed(data):
-                self.owner.line_received(line)
+                self.owner.line_received(self, line)
         except InvalidEventError as error:
             self.owner.line_rejected(str(error))
             self.drop()
--- a/query_broker/server/tick_loop.py
+++ b/query_broker/server/tick_loop.py
@@ -110,7 +110,7 @@
     def _run_due_work(self, now_ns: int) -> None:
         self.node.dispatcher.tick()
         if self.node.watch_client is not None:
-            self.node.watch_client.drop_if_silent(now_ns)
+            self.node.watch_client.reconnect_if_silent(now_ns)
         if now_ns - self._last_sweep_ns > SWEEP_PERIOD_NS:
             self._last_sweep_ns = now_ns
             self.node.dispatcher.pools.sweep(now_ns)
--- a/query_broker/startup/discovery_pace.py
+++ b/query_broker/startup/discovery_pace.py
@@ -13,8 +13,8 @@
 #: the service next sends or confirms the endpoint list.
 MAX_CONNECT_TIMEOUT_NS = 8 * NS_PER_SECOND
 
-#: Upper limit of the silence after which a connection is closed. The allowed silence doubles in
-#: the same way.
+#: Upper limit of the silence after which another connection is opened. The allowed silence doubles
+#: in the same way.
 MAX_SILENCE_NS = 16 * NS_PER_SECOND
 
 
@@ -69,7 +69,7 @@
         return timeout_ns / NS_PER_SECOND
 
     def silence_limit_ns(self) -> int:
-        """Return the silence, in nanoseconds, after which a connection is closed."""
+        """Return the silence, in nanoseconds, after which another connection is opened."""
         return backoff_timeout_ns(
             self._calls.failure_count, SERVICE_SILENCE_LIMIT_NS, MAX_SILENCE_NS
         )
--- a/tests/discovery/test_endpoint_watch.py
+++ b/tests/discovery/test_endpoint_watch.py
@@ -93,7 +93,7 @@
 ) -> None:
     """Run the client's silence check, with its real limit, after this time without a byte."""
     monkeypatch.setattr(SILENCE_LIMIT_PATH, SERVICE_SILENCE_LIMIT_NS)
-    watch_client.drop_if_silent(watch_client.last_received_ns + silent_ms * MS)
+    watch_client.reconnect_if_silent(watch_client.last_received_ns + silent_ms * MS)
     monkeypatch.setattr(SILENCE_LIMIT_PATH, NEVER_NS)
 
 
@@ -237,7 +237,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A network partition leaves the old connection open and silent in the middle of a line. What
-    arrives on it after the reconnect is not read, and a duplicate event is applied once.
+    arrives on it after the new one has sent an event is not read, and a duplicate event is applied
+    once.
     """
     service = ScriptedDiscoveryService()
     engines = await start_draining_and_ready()
@@ -255,9 +256,9 @@
         check_silence_after(watch_client, 2_000, monkeypatch)
         await until(lambda: len(service.subscriptions) == 2 and service.writer is not old_writer)
         assert service.subscriptions[1] == b"from 1\n"
-        old_writer.write(line[40:] + b'{"offset":3,"topology":{"rev":3,"all":true,"targets":[]}}\n')
         service.publish(drain)
         await until(lambda: watch_client.last_offset == 2)
+        old_writer.write(line[40:] + b'{"offset":3,"topology":{"rev":3,"all":true,"targets":[]}}\n')
         service.publish(drain)
         client = await broker.client()
         await assert_draining_engine_gets_no_requests(client, engines, 1)
