Withdraw partly written attempts that nobody waits for any more

Cause: a frame of which a byte had left was written to its end. The hand-over check comes before the first byte alone; ending a request let a partly written attempt run, or sent a cancellation behind its last byte.

Change: an attempt whose last byte has not left is withdrawn, at the end of its request by cancellation, departure, deadline or another attempt's answer, and at its own deadline. The connection writes nothing more: attempts that wait on it are sent elsewhere, those that the engine has are waited for, those whose pages can't be requested are ended, and where one has to be cancelled the connection ends.

Why it works: an engine runs only what has arrived completely, and the rest never leaves.

On the way of a request nothing is added; the work is at the end of a request whose attempt is in a write queue.

Two tests were wrong: test_queued_requests asked that the rest of a cancelled request, and of one whose deadline has passed, is written. They ask now that neither is complete at the engine (the list of complete requests is empty, the buffer holds a part), with the same answers and counts.

--- a/query_broker/deadlines/cancel_scopes.py
+++ b/query_broker/deadlines/cancel_scopes.py
@@ -2,9 +2,9 @@
 
 Performs no I/O. Modelled on trio's cancel scopes: ending a scope ends its whole subtree once,
 children before their parents. What ending an attempt means depends on its progress. An attempt that
-was not sent is withdrawn. An attempt that was sent is cancelled if endpoints support cancellation,
-and is tracked until it counts as stopped or is answered nevertheless. Otherwise it is left running
-and its answer is dropped.
+was not sent completely is withdrawn: endpoints run only what has arrived completely. An attempt
+that was sent is cancelled if endpoints support cancellation, and is tracked until it counts as
+stopped or is answered nevertheless. Otherwise it is left running and its answer is dropped.
 """
 
 from __future__ import annotations
@@ -34,7 +34,7 @@
 class CancelAction(Enum):
     """What the caller has to do for a scope that has ended."""
 
-    WITHDRAW = "withdraw"  # no byte of the attempt has been written
+    WITHDRAW = "withdraw"  # the last byte of the attempt has not been written
     CANCEL = "cancel"
     DISCARD_PAGES = "discard pages"
     LET_RUN = "let run"
@@ -59,7 +59,7 @@
         work: The caller's object for the work, such as a request or an attempt.
         parent: The scope that this one belongs to; None for a request.
         children: The scopes directly below this one that have not ended.
-        write_started: Whether a byte of the attempt has been written to the endpoint.
+        write_completed: Whether the last byte of the attempt has been written to the endpoint.
         ended: Whether the scope has ended, by itself or by `end`.
     """
 
@@ -67,7 +67,7 @@
     work: object
     parent: CancelScope | None = None
     children: list[CancelScope] = field(default_factory=list)
-    write_started: bool = False
+    write_completed: bool = False
     ended: bool = False
 
     def open_child(self, kind: ScopeKind, work: object) -> CancelScope:
@@ -112,7 +112,7 @@
         match self.kind:
             case ScopeKind.REQUEST:
                 return CancelAction.END_REQUEST
-            case ScopeKind.ATTEMPT if not self.write_started:
+            case ScopeKind.ATTEMPT if not self.write_completed:
                 return CancelAction.WITHDRAW
             case ScopeKind.ATTEMPT if cancellation_supported:
                 return CancelAction.CANCEL
--- a/query_broker/deadlines/handover_checks.py
+++ b/query_broker/deadlines/handover_checks.py
@@ -75,8 +75,8 @@
 
     Attributes:
         stop_counts: Attempts that were stopped at a hand-over, before any byte was written.
-        partial_write_counts: Attempts that were partly written when their request ended, and were
-            then written completely.
+        partial_write_counts: Attempts that were partly written when nobody waited for them any
+            more. Their rest is not written.
         cancels_sent: Attempts in flight that were cancelled.
         cancels_confirmed: Cancelled attempts that have been silent since.
         cancels_answered: Cancelled attempts that were answered nevertheless.
--- a/query_broker/deadlines/write_queue.py
+++ b/query_broker/deadlines/write_queue.py
@@ -1,8 +1,9 @@
 """The priority queue of the frames to write on one connection.
 
-Performs no I/O. A frame can be withdrawn until its first byte has been written. After that, its
-request may run, so the frame is written completely before any other. Frames are stored as the
-pieces that they consist of, which are neither joined nor copied.
+Performs no I/O. A frame can be withdrawn from the queue until its first byte has been written.
+After that, it is written completely before any other, or nothing more is written on the connection:
+an endpoint could not tell where the next frame begins. Frames are stored as the pieces that they
+consist of, which are neither joined nor copied.
 """
 
 from __future__ import annotations
@@ -197,8 +198,12 @@
         self.observer.frame_written(frame.subject)
         return True
 
+    def waiting_frames(self) -> list[Frame]:
+        """Return the frames of which no byte has been written, in the order of writing."""
+        return [frame for _, _, frame in sorted(self.heap) if frame.written_bytes >= 0]
+
     def abandon(self) -> None:
-        """Drop all frames, since the connection has ended."""
+        """Drop all frames, since nothing more is written on the connection."""
         self.heap.clear()
         self.by_key.clear()
         self.current = None
--- a/query_broker/dispatch/attempt_dispatch.py
+++ b/query_broker/dispatch/attempt_dispatch.py
@@ -129,14 +129,20 @@
         self._outcomes.end(attempt, AttemptResult.CONNECT_FAILED)
 
     def _time_out(self, attempt: Attempt) -> None:
-        """End an attempt whose deadline has passed; cancel it if endpoints support cancellation."""
+        """End an attempt whose deadline has passed.
+
+        It is withdrawn if it is only partly written, else cancelled if endpoints support
+        cancellation.
+        """
         if attempt.stopped_by_broker:
             return  # its report is already deferred
         connection = attempt.connection
-        may_cancel = self._context.config.settings.limits.cancellation
-        if connection is not None and not attempt.reported and may_cancel:
-            self._outcomes.cancel_in_flight(attempt, connection)
-            attempt.stopped_by_broker = True
-            self._outcomes.end_next_tick(attempt, AttemptResult.TIMEOUT)
-        else:
+        if connection is None or attempt.reported or self._outcomes.withdraw(attempt, connection):
             self._outcomes.end(attempt, AttemptResult.TIMEOUT)
+            return
+        if not self._context.config.settings.limits.cancellation:
+            self._outcomes.end(attempt, AttemptResult.TIMEOUT)
+            return
+        self._outcomes.cancel_in_flight(attempt, connection)
+        attempt.stopped_by_broker = True
+        self._outcomes.end_next_tick(attempt, AttemptResult.TIMEOUT)
--- a/query_broker/dispatch/attempt_outcomes.py
+++ b/query_broker/dispatch/attempt_outcomes.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from ..deadlines.handover_checks import HandOver, StopReason
 from ..decisions.facade import AttemptEnded, AttemptResult, LoadReport
 from ..timer_wheel import Clock, TimerWheel
 from .context import DispatchContext
@@ -87,6 +88,21 @@
         self.deferred.append(DeferredOutcome(attempt, result))
         self._timer_wheel.wake_next_tick()
 
+    def withdraw(self, attempt: Attempt, connection: AttemptConnection) -> bool:
+        """Withdraw an attempt that nobody waits for; return False if it may run already."""
+        was_partly_written = attempt.write_started
+        if not connection.withdraw(attempt):
+            return False
+        statistics = self._controls.statistics
+        if not was_partly_written:
+            statistics.stop_counts[HandOver.SOCKET, StopReason.CLIENT_LEFT] += 1
+            return True
+        reason = StopReason.DEADLINE_PASSED
+        if attempt.request.abandoned:
+            reason = StopReason.CLIENT_LEFT
+        statistics.partial_write_counts[reason] += 1
+        return True
+
     def cancel_in_flight(self, attempt: Attempt, connection: AttemptConnection) -> None:
         """Cancel an attempt at its endpoint; the settings must allow cancellation."""
         connection.cancel(attempt)
--- a/query_broker/dispatch/cancellation.py
+++ b/query_broker/dispatch/cancellation.py
@@ -157,8 +157,8 @@
     def end_scope(self, request: ActiveRequest) -> None:
         """End the attempts of a request that has been answered or abandoned.
 
-        Unsent attempts are withdrawn, attempts in flight are cancelled if endpoints support
-        cancellation, and no more pages are fetched.
+        Attempts that were not sent completely are withdrawn, attempts in flight are cancelled if
+        endpoints support cancellation, and no more pages are fetched.
         """
         if not request.attempts:
             return
@@ -202,9 +202,8 @@
                 self._controls.statistics.stop_counts[HandOver.POOL, StopReason.CLIENT_LEFT] += 1
                 return AttemptResult.NOT_SENT
             case CancelAction.WITHDRAW if connection is not None:
-                if not connection.withdraw(attempt):
+                if not self._outcomes.withdraw(attempt, connection):
                     return None
-                self._controls.statistics.stop_counts[HandOver.SOCKET, StopReason.CLIENT_LEFT] += 1
                 return AttemptResult.NOT_SENT
             case CancelAction.CANCEL if connection is not None:
                 self._outcomes.cancel_in_flight(attempt, connection)
--- a/query_broker/dispatch/connection_events.py
+++ b/query_broker/dispatch/connection_events.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..deadlines.cancel_scopes import CancelOutcome
-from ..deadlines.handover_checks import HandOver, StopReason
+from ..deadlines.handover_checks import HandOver
 from ..decisions.facade import AttemptProgress, AttemptResult, HealthCheckResult, ProgressKind
 from ..metrics import SUCCESS, Metrics
 from ..protocols.engine_connection import EngineConnection
@@ -72,11 +72,11 @@
         """Record that the last byte of a queued attempt has been sent."""
         self._metrics.dispatches += 1
         attempt.written_ns = self._clock.now()
-        if not attempt.is_wanted():  # partly written when the request ended; the rest followed
-            reason = StopReason.DEADLINE_PASSED
-            if attempt.request.abandoned:
-                reason = StopReason.CLIENT_LEFT
-            self._controls.statistics.partial_write_counts[reason] += 1
+
+    def attempt_stopped(self, attempt: Attempt, result: AttemptResult) -> None:
+        """Report an attempt that its connection can't carry on, at the next tick."""
+        attempt.stopped_by_broker = True
+        self._outcomes.end_next_tick(attempt, result)
 
     def socket_blocked(self, connection: EngineConnection) -> None:
         """Flush a connection at the next tick: its socket accepts no more bytes for now."""
--- a/query_broker/dispatch/requests.py
+++ b/query_broker/dispatch/requests.py
@@ -48,7 +48,7 @@
         """Give the attempt another priority level."""
 
     def withdraw(self, attempt: Attempt) -> bool:
-        """Withdraw the attempt; return whether no byte of it was sent, so that none will be."""
+        """Withdraw the attempt; return False if its last byte has been sent, so that it may run."""
 
     def cancel(self, attempt: Attempt) -> None:
         """Tell the endpoint to stop the attempt."""
@@ -133,9 +133,9 @@
         holds_retry_token: A token of the retry budget has been spent on the attempt.
         stopped_by_broker: The broker has stopped waiting for the attempt, for example after a
             cancellation or a timeout; the report follows.
-        write_started: A byte has been sent to the endpoint, so that the attempt may have run.
+        write_started: A byte has been sent to the endpoint.
         assigned_ns: When the attempt was assigned to its connection.
-        written_ns: When the last byte was sent.
+        written_ns: When the last byte was sent; from then on the attempt may run.
         reported: The end of the attempt has been reported to the decisions.
         pages: Pages of the result, None while they are missing.
         missing_pages: How many pages are missing.
@@ -168,7 +168,7 @@
     def scope(self, parent: CancelScope) -> CancelScope:
         """Return the cancel scope of the attempt and its missing pages, below its request's."""
         scope = parent.open_child(ScopeKind.ATTEMPT, self)
-        scope.write_started = self.write_started
+        scope.write_completed = self.written_ns > 0
         if self.missing_pages:
             scope.open_child(ScopeKind.PAGE, self)
         return scope
--- a/query_broker/protocols/engine_answers.py
+++ b/query_broker/protocols/engine_answers.py
@@ -157,6 +157,9 @@
         if attempt.missing_pages == 0:
             del self.connection.in_flight[tag]
             self.observer.answer_completed(attempt, load_text)
+        elif self.writer.is_stopped:  # no page can be requested
+            attempt.pages = []
+            self._end_attempt(tag, attempt, AttemptResult.CANCELLED, load_text)
         elif self.carried_by_other_connection(tag):
             self._fail_mixed_pages(tag, attempt, load_text, now_ns)
         else:
--- a/query_broker/protocols/engine_connection.py
+++ b/query_broker/protocols/engine_connection.py
@@ -11,6 +11,7 @@
 from functools import partial
 from typing import Protocol, cast
 
+from ..decisions.facade import AttemptResult
 from ..dispatch.requests import Attempt
 from . import engine_messages as messages
 from . import resp
@@ -148,13 +149,35 @@
             self.writer.send_command(now_ns, messages.SET_PRIORITY, request_id, b"%d" % priority)
 
     def withdraw(self, attempt: Attempt) -> bool:
-        """Withdraw an attempt if none of its bytes has left; return whether it was withdrawn."""
+        """Withdraw an attempt unless its last byte has left; return whether it was withdrawn.
+
+        The engine runs only what has arrived completely. The rest of a partly written attempt is
+        never written; the connection then carries nothing more, and ends once the engine has
+        answered the other attempts that it has.
+        """
         request_id = attempt.request.client_request_id
+        if self.writer.is_partly_written(attempt):
+            self.in_flight.pop(request_id, None)
+            self._stop_writing()
+            return True
         if attempt.write_started or not self.writer.withdraw(request_id):
             return False
         self.in_flight.pop(request_id, None)
         return True
 
+    def _stop_writing(self) -> None:
+        """Write nothing more; give back the attempts that can't be carried on without that."""
+        self.retired = True
+        for attempt in self.writer.stop():
+            self.in_flight.pop(attempt.request.client_request_id, None)
+            self.owner.attempt_stopped(attempt, AttemptResult.NOT_SENT)
+        for request_id, attempt in list(self.in_flight.items()):
+            if attempt.missing_pages:  # they may not have been requested yet
+                del self.in_flight[request_id]
+                self.owner.attempt_stopped(attempt, AttemptResult.CANCELLED)
+        if self.is_idle():
+            self.close()
+
     def cancel(self, attempt: Attempt) -> None:
         """Cancel an attempt of which a byte may have left.
 
@@ -182,12 +205,18 @@
         self.writer.flush()
 
     def check(self, now_ns: int) -> None:
-        """Repeat cancellations, and end the connection if an answer stays incomplete for too long.
+        """Repeat cancellations, and end the connection if it can't be used any more.
+
+        If nothing more is written, attempts can only be cancelled by the end of the connection.
 
-        All later answers would be read as parts of the incomplete one, so no later attempt would be
-        answered. After a stall of this process the rest of the answer may lie unread in the
-        system's buffer; in that case the connection stays open.
+        The connection also ends if an answer stays incomplete for too long. All later answers would
+        be read as parts of the incomplete one, so no later attempt would be answered. After a stall
+        of this process the rest of the answer may lie unread in the system's buffer; in that case
+        the connection stays open.
         """
+        if self.writer.is_stopped and self.cancels_in_transit:
+            self._end("a cancellation can't be sent", ended_by_broker=True)
+            return
         self.cancellations.check(now_ns)
         if not self.parser.buffer or now_ns - self.answer_started_ns <= ANSWER_TIMEOUT_NS:
             return
--- a/query_broker/protocols/engine_writer.py
+++ b/query_broker/protocols/engine_writer.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from ..deadlines.write_queue import CONTROL_PRIORITY, Frame, WriteQueue
+from ..decisions.facade import AttemptResult
 from ..dispatch.requests import Attempt
 from . import resp
 from .engine_messages import CANCEL, encode_attempt
@@ -40,6 +41,9 @@
         If not, the attempt is withdrawn, and has never run.
         """
 
+    def attempt_stopped(self, attempt: Attempt, result: AttemptResult) -> None:
+        """Report at the next tick the end of an attempt that its connection can't carry on."""
+
 
 class BlockedListener(Protocol):
     """Is notified that the socket currently accepts no more bytes."""
@@ -66,6 +70,7 @@
         fd: Descriptor of the socket, or `NO_DESCRIPTOR`.
         write_queue: Frames that have not left completely.
         is_blocked: Whether frames wait because the socket accepted no more bytes.
+        is_stopped: Whether nothing more is written, since the rest of a frame was withdrawn.
         last_used_ns: When something was last sent or queued.
         cancels_in_transit: Request ids of cancelled attempts whose cancellation has not left yet,
             so that the engine cannot have read it.
@@ -92,6 +97,7 @@
         self.fd = NO_DESCRIPTOR
         self.write_queue = WriteQueue(self)
         self.is_blocked = False
+        self.is_stopped = False
         self.last_used_ns = observer.now()
         self.cancels_in_transit: set[bytes] = set()
 
@@ -163,7 +169,10 @@
         self._enqueue(now_ns, _control_frame(parts))
 
     def send_cancel(self, now_ns: int, request_id: bytes) -> None:
-        """Send a cancellation, and remember its id until its last byte has left."""
+        """Send a cancellation, and remember its id until its last byte has left.
+
+        After `stop` it never leaves: the id is remembered until the connection ends.
+        """
         if self._is_open():
             self.cancels_in_transit.add(request_id)
             self._enqueue(now_ns, _control_frame((CANCEL, request_id), request_id))
@@ -172,13 +181,28 @@
         """Withdraw a queued attempt if none of its bytes has left; return whether it was."""
         return self.write_queue.withdraw(request_id)
 
+    def is_partly_written(self, attempt: Attempt) -> bool:
+        """Return whether bytes of the attempt have left, but not its last one."""
+        frame = self.write_queue.current
+        return frame is not None and frame.subject is attempt and attempt.write_started
+
+    def stop(self) -> list[Attempt]:
+        """Write nothing more, so that the partly written frame never becomes complete.
+
+        Returns the attempts of which no byte has left.
+        """
+        self.is_stopped = True
+        subjects = [frame.subject for frame in self.write_queue.waiting_frames()]
+        self.write_queue.abandon()
+        return [subject for subject in subjects if isinstance(subject, Attempt)]
+
     def set_priority(self, request_id: bytes, priority: int) -> bool:
         """Change the priority of a queued attempt; return False if it is not queued."""
         return self.write_queue.raise_priority(request_id, priority)
 
     def flush(self) -> None:
         """Write the frames that wait, until the socket accepts no more bytes."""
-        while self.fd >= 0 and self._is_open():
+        while self.fd >= 0 and self._is_open() and not self.is_stopped:
             pieces = self.write_queue.next()
             if not pieces:
                 break
@@ -200,7 +224,7 @@
 
     def _enqueue(self, now_ns: int, frame: Frame) -> None:
         self.last_used_ns = now_ns
-        if self._is_open() and self.write_queue.enqueue(frame):
+        if self._is_open() and not self.is_stopped and self.write_queue.enqueue(frame):
             self.flush()
 
     # Called by the write queue.
--- a/tests/deadlines/deadline_brokers.py
+++ b/tests/deadlines/deadline_brokers.py
@@ -14,6 +14,7 @@
 from query_broker.dispatch.deadline_controls import DeadlineControls
 from query_broker.operator_config.service import ConfiguredNode
 from query_broker.operator_config.settings import OperatorConfig
+from query_broker.protocols import client_frames as frames
 from query_broker.server.node import Node
 
 from ..support.sockets import (
@@ -77,6 +78,16 @@
     return client
 
 
+async def cancel_request(client: Client) -> None:
+    """Cancel the client's first request."""
+    client.send(frames.ABANDON, 1)
+
+
+async def close_connection(client: Client) -> None:
+    """Close the client's connection."""
+    client.writer.transport.abort()
+
+
 async def wait_for_queued_request(broker: RunningBroker) -> None:
     """Wait until a request waits in the write queue of the first connection."""
     await until(lambda: engine_connections(broker)[0].write_queue.by_key)
--- a/tests/deadlines/test_cancel_scopes.py
+++ b/tests/deadlines/test_cancel_scopes.py
@@ -32,7 +32,7 @@
     request = CancelScope(ScopeKind.REQUEST, "r")
     unsent = request.open_child(ScopeKind.ATTEMPT, 0)
     sent = request.open_child(ScopeKind.ATTEMPT, 1)
-    sent.write_started = True
+    sent.write_completed = True
     page = sent.open_child(ScopeKind.PAGE, "p")
     health_check = sent.open_child(ScopeKind.HEALTH_CHECK, "q")
     return RequestTree(request, unsent, sent, page, health_check)
--- a/tests/deadlines/test_cancellation.py
+++ b/tests/deadlines/test_cancellation.py
@@ -11,7 +11,14 @@
 from query_broker.protocols import resp
 
 from ..support.sockets import TRACE, Client, Engine, on_uvloop, platform_settings, until
-from .deadline_brokers import broker_with_engine_ports, engine_connections, request_id, statistics
+from .deadline_brokers import (
+    broker_with_engine_ports,
+    cancel_request,
+    close_connection,
+    engine_connections,
+    request_id,
+    statistics,
+)
 
 pytestmark = pytest.mark.real_time
 
@@ -41,16 +48,6 @@
         assert statistics(broker).cancels_sent == 0
 
 
-async def cancel_request(client: Client) -> None:
-    """Cancel the client's request."""
-    client.send(frames.ABANDON, 1)
-
-
-async def close_connection(client: Client) -> None:
-    """Close the client's connection."""
-    client.writer.transport.abort()
-
-
 async def wait_for_deadline(client: Client) -> None:
     """Wait until the request fails at its deadline."""
     assert (await client.answer())[1] == frames.FAILED
--- /dev/null
+++ b/tests/deadlines/test_partly_written_requests.py
@@ -0,0 +1,141 @@
+"""Requests that are only partly written to an engine when nobody waits for them any more.
+
+An engine runs a request once it has arrived completely. An engine that hangs and goes on must not
+begin work for a client that left meanwhile.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any, NamedTuple
+
+import pytest
+
+from query_broker.deadlines.handover_checks import StopReason
+from query_broker.protocols import client_frames as frames
+from query_broker.protocols import resp
+
+from ..support.sockets import Client, RunningBroker, on_uvloop, platform_settings, until
+from .deadline_brokers import (
+    LARGE_STATEMENT,
+    broker_with_engine_ports,
+    cancel_request,
+    client_with_partly_written_request,
+    close_connection,
+    engine_connections,
+    request_id,
+    statistics,
+)
+from .slow_engine import SlowEngine, slow_engine
+
+pytestmark = pytest.mark.real_time
+
+POLICY_LIMITS = platform_settings()["policy_limits"]
+CANCEL_LIMITS = {**POLICY_LIMITS, "cancel": True}
+ROWS = b"a\tb\tc\n"
+ID_1 = request_id(1).encode()
+ID_2 = request_id(2).encode()
+ID_3 = request_id(3).encode()
+
+
+@pytest.mark.parametrize("end_request", [cancel_request, close_connection])
+@pytest.mark.parametrize("limits", [POLICY_LIMITS, CANCEL_LIMITS], ids=["no undo", "undo"])
+@on_uvloop
+async def test_a_request_whose_client_left_while_it_was_written_never_begins(
+    end_request: Callable[[Client], Awaitable[None]], limits: dict[str, Any]
+) -> None:
+    # Guards against a load that begins when a hung engine goes on, seconds after its cancellation.
+    async with (
+        slow_engine() as slow,
+        broker_with_engine_ports(slow.port, policy_limits=limits) as broker,
+    ):
+        client = await client_with_partly_written_request(broker)
+        await end_request(client)
+        await until(lambda: not engine_connections(broker))
+        await slow.read_rounds(50)
+        assert not slow.commands
+        (buffer,) = slow.buffers.values()
+        assert 0 < len(buffer) < len(LARGE_STATEMENT)
+        assert statistics(broker).partial_write_counts == {StopReason.CLIENT_LEFT: 1}
+        assert not broker.node.dispatcher.requests
+
+
+class SharedConnection(NamedTuple):
+    """A connection that carries request 1, which the engine has, and a part of request 2."""
+
+    slow: SlowEngine
+    broker: RunningBroker
+    client: Client
+
+    def answer(self, connection_index: int, *parts: bytes) -> None:
+        """Send an answer of the engine on one of its connections."""
+        list(self.slow.buffers)[connection_index].send(resp.encode(*parts))
+
+    async def cancel_second(self) -> None:
+        """Cancel the partly written request; further connections may be opened from then on."""
+        self.broker.node.dispatcher.pools.max_connections = 8
+        self.client.send(frames.ABANDON, 2)
+        await until(lambda: statistics(self.broker).partial_write_counts)
+
+
+@asynccontextmanager
+async def shared_connection(**changes: Any) -> AsyncIterator[SharedConnection]:
+    """Run a broker and a slow engine, with one connection between them."""
+    async with slow_engine() as slow, broker_with_engine_ports(slow.port, **changes) as broker:
+        dispatcher = broker.node.dispatcher
+        dispatcher.pools.max_connections = 1
+        client = await broker.client()
+        fields: dict[str, Any] = {"patience": "30000", "route": "stock-add", "weight": "1.0"}
+        client.send_request(1, trace=request_id(1), **fields)
+        await slow.read_until(slow.requests)
+        client.send_request(2, body=LARGE_STATEMENT, trace=request_id(2), **fields)
+        await until(lambda: dispatcher.connection_events.blocked_connections)
+        yield SharedConnection(slow, broker, client)
+
+
+@on_uvloop
+async def test_other_requests_on_the_connection_are_answered_or_sent_elsewhere() -> None:
+    async with shared_connection() as shared:
+        shared.client.send_request(3, trace=request_id(3), weight="1.0")
+        await until(lambda: engine_connections(shared.broker)[0].write_queue.by_key)
+        await shared.cancel_second()
+        await shared.slow.read_until(lambda: len(shared.slow.requests()) == 2)
+        shared.answer(1, ID_3, b"served", b"chunks=1", ROWS)
+        assert (await shared.client.answer())[:2] == (3, frames.SERVED)
+        shared.answer(0, ID_1, b"served", b"chunks=1", ROWS)
+        assert (await shared.client.answer())[:2] == (1, frames.SERVED)
+        await until(lambda: len(engine_connections(shared.broker)) == 1)
+        await shared.slow.read_rounds(20)
+        assert shared.slow.request_ids() == [ID_1, ID_3]
+
+
+@pytest.mark.parametrize("is_page_first", [True, False])
+@on_uvloop
+async def test_a_result_whose_pages_can_not_be_requested_is_an_error_at_once(
+    is_page_first: bool,
+) -> None:
+    async with shared_connection() as shared:
+        if not is_page_first:
+            await shared.cancel_second()
+        shared.answer(0, ID_1, b"served", b"chunks=3", ROWS)
+        if is_page_first:
+            (connection,) = engine_connections(shared.broker)
+            await until(lambda: connection.in_flight[ID_1].missing_pages)
+            await shared.cancel_second()
+        assert (await shared.client.answer())[:2] == (1, frames.FAILED)
+        await until(lambda: not engine_connections(shared.broker))
+        await shared.slow.read_rounds(20)
+        assert shared.slow.request_ids() == [ID_1]
+
+
+@on_uvloop
+async def test_the_connection_ends_where_a_cancellation_can_not_be_sent() -> None:
+    async with shared_connection(policy_limits=CANCEL_LIMITS) as shared:
+        await shared.cancel_second()
+        assert len(engine_connections(shared.broker)) == 1
+        shared.client.send(frames.ABANDON, 1)
+        await until(lambda: not engine_connections(shared.broker))
+        await until(lambda: not shared.broker.node.dispatcher.requests)
+        await shared.slow.read_rounds(20)
+        assert [parts[:2] for parts in shared.slow.commands] == [[b"do", ID_1]]
--- a/tests/deadlines/test_queued_requests.py
+++ b/tests/deadlines/test_queued_requests.py
@@ -53,7 +53,7 @@
 
 
 @on_uvloop
-async def test_only_the_unsent_request_is_withdrawn_when_the_client_cancels() -> None:
+async def test_cancelled_requests_are_never_sent_completely_and_the_others_go_on() -> None:
     async with slow_engine() as slow, broker_with_engine_ports(slow.port) as broker:
         client = await client_with_partly_written_request(broker)
         for number in (2, 3):
@@ -62,10 +62,13 @@
         client.send(frames.ABANDON, 2)
         await until(lambda: stopped_count(broker, HandOver.SOCKET, StopReason.CLIENT_LEFT) == 1)
         await until(lambda: ID_2 not in engine_connections(broker)[0].in_flight)
-        client.send(frames.ABANDON, 1)  # partly written: the rest of the frame must follow
-        await slow.read_until(lambda: len(slow.requests()) == 2)
-        assert slow.request_ids() == [ID_1, ID_3]
-        assert slow.requests()[0][3] == LARGE_STATEMENT
+        client.send(frames.ABANDON, 1)  # partly written: the rest of the frame must not follow
+        await slow.read_until(lambda: slow.requests())
+        await slow.read_rounds(20)
+        assert slow.request_ids() == [ID_3]
+        first_buffer, second_buffer = slow.buffers.values()
+        assert 0 < len(first_buffer) < len(LARGE_STATEMENT)
+        assert not second_buffer
         assert statistics(broker).partial_write_counts == {StopReason.CLIENT_LEFT: 1}
 
 
@@ -80,10 +83,10 @@
         client.send_request(1, body=LARGE_STATEMENT, trace=request_id(1), **fields)
         client.send_request(2, trace=request_id(2), **fields)
         codes = await codes_of_two_answers(client)
-        # The first may run, so it fails. No byte of the second was sent, so it can be retried.
+        # The first was being sent, so it fails. No byte of the second was, so it can be retried.
         assert codes == {1: frames.FAILED, 2: frames.REFUSED}
         await slow.read_rounds(100)
-        assert slow.request_ids() == [ID_1]
+        assert slow.request_ids() == []
         assert statistics(broker).partial_write_counts == {StopReason.DEADLINE_PASSED: 1}
 
 
