Discard requests that lie undelivered in the send buffer when nobody waits for them

Change: when nobody waits for an attempt any more, the system is asked for unacknowledged bytes (TIOCOUTQ); if some are left after 70 ms, the connection is reset (SO_LINGER with zero seconds), unless another attempt on it is wanted. The attempt is reported as cancelled, since it may have arrived.

Four new cases of tests/deadlines/test_partly_written_requests fail before and pass after; two others hold before and after (a wanted neighbour, a delivered request). One system call for an attempt in flight whose request ends early; none on the ordinary way.

--- a/query_broker/dispatch/assembly.py
+++ b/query_broker/dispatch/assembly.py
@@ -19,6 +19,7 @@
 from .observers import DispatchExtensions
 from .request_table import RequestTable
 from .stage_timing import StageTimer
+from .undelivered_attempts import UndeliveredAttempts
 
 
 class DispatchParts:
@@ -43,7 +44,12 @@
         self.attempts = AttemptDispatcher(context, timer_wheel, table, controls, self.outcomes)
         self.gate = HandOverGate(clock, endpoints, administrative_states, controls, self.outcomes)
         self.cancellations = RequestCancellation(
-            context, table, extensions, controls, self.outcomes
+            context,
+            table,
+            extensions,
+            controls,
+            self.outcomes,
+            UndeliveredAttempts(clock, timer_wheel),
         )
         self.client_answers = ClientAnswers(context, table, extensions, self.cancellations)
         self.health_checks = HealthChecks(context, clock, timer_wheel, extensions, id_sequence)
--- a/query_broker/dispatch/cancellation.py
+++ b/query_broker/dispatch/cancellation.py
@@ -27,6 +27,7 @@
 from .observers import DispatchExtensions, RequestEnding
 from .request_table import RequestTable
 from .requests import ActiveRequest, Attempt
+from .undelivered_attempts import UndeliveredAttempts
 
 # The stages that a request has not gone through yet at each hand-over.
 REMAINING_STAGES = {
@@ -104,6 +105,7 @@
         extensions: DispatchExtensions,
         controls: DeadlineControls,
         outcomes: AttemptOutcomes,
+        undelivered: UndeliveredAttempts,
     ) -> None:
         """Store the other parts that cancelling uses."""
         self._context = context
@@ -111,6 +113,7 @@
         self._extensions = extensions
         self._controls = controls
         self._outcomes = outcomes
+        self._undelivered = undelivered
 
     def abandon(self, request: ActiveRequest) -> None:
         """End a request without an answer: its client has cancelled it or disconnected."""
@@ -205,7 +208,10 @@
                 if not self._outcomes.withdraw(attempt, connection):
                     return None
                 return AttemptResult.NOT_SENT
+            case CancelAction.LET_RUN if connection is not None:
+                self._undelivered.check_later(attempt, connection)
             case CancelAction.CANCEL if connection is not None:
+                self._undelivered.check_later(attempt, connection)
                 self._outcomes.cancel_in_flight(attempt, connection)
                 return AttemptResult.CANCELLED
             case CancelAction.DISCARD_PAGES if connection is not None:
--- a/query_broker/dispatch/requests.py
+++ b/query_broker/dispatch/requests.py
@@ -53,6 +53,15 @@
     def cancel(self, attempt: Attempt) -> None:
         """Tell the endpoint to stop the attempt."""
 
+    def has_undelivered_bytes(self) -> bool:
+        """Return whether bytes that have been sent have not arrived at the endpoint's system."""
+
+    def end_if_undelivered(self, attempt: Attempt) -> None:
+        """End the connection if this attempt, which nobody waits for, has not arrived completely.
+
+        Does nothing if another attempt on the connection is wanted.
+        """
+
     def forget(self, attempt: Attempt) -> None:
         """Tell the endpoint that no more pages of the result are wanted."""
 
--- a/query_broker/protocols/engine_writer.py
+++ b/query_broker/protocols/engine_writer.py
@@ -13,7 +13,13 @@
 from ..dispatch.requests import Attempt
 from . import resp
 from .engine_messages import CANCEL, encode_attempt
-from .socket_state import NO_DESCRIPTOR, has_ended, has_input
+from .socket_state import (
+    NO_DESCRIPTOR,
+    discard_unsent,
+    has_ended,
+    has_input,
+    unacknowledged_bytes,
+)
 
 # The socket option's number on Linux, for a Python whose `socket` module lacks it.
 NOTSENT_LOWAT = getattr(socket, "TCP_NOTSENT_LOWAT", 25)
@@ -119,6 +125,16 @@
         """Return whether bytes from the engine lie unread in the system's buffer."""
         return self.fd >= 0 and has_input(self.fd)
 
+    def has_undelivered_bytes(self) -> bool:
+        """Return whether the engine's system has not acknowledged all that has been written."""
+        return self.fd >= 0 and unacknowledged_bytes(self.fd) > 0
+
+    def discard_unsent(self) -> None:
+        """Let `close` discard what lies in the system's buffer, instead of sending it first."""
+        if self.transport is not None:
+            with contextlib.suppress(OSError):
+                discard_unsent(self.transport.get_extra_info("socket"))
+
     def close(self) -> None:
         """End the connection at once.
 
--- a/query_broker/protocols/socket_state.py
+++ b/query_broker/protocols/socket_state.py
@@ -1,11 +1,16 @@
-"""The state of a connection as the system reports it, before its input has been read.
+"""The state of a connection as the system reports it, without reading or writing.
 
-Performs no reads or writes: one call of ``poll`` that does not block.
+Each function makes one system call that does not block.
 """
 
 from __future__ import annotations
 
+import array
+import fcntl
 import select
+import socket
+import struct
+import termios
 
 # Used instead of a descriptor that does not exist or must no longer be used.
 NO_DESCRIPTOR = -1
@@ -27,6 +32,28 @@
     return _is_signalled(fd, select.POLLIN)
 
 
+def unacknowledged_bytes(fd: int) -> int:
+    """Return how many written bytes the peer's system has not acknowledged; 0 if it is unknown."""
+    count = array.array("i", [0])
+    try:
+        fcntl.ioctl(fd, termios.TIOCOUTQ, count)
+    except (OSError, ValueError):
+        return 0
+    return count[0]
+
+
+def discard_unsent(connection: socket.socket) -> None:
+    """Make the close of a connection reset it, and discard the bytes that have not been sent.
+
+    Otherwise the system goes on sending them after the close.
+
+    Raises:
+        OSError: The socket is closed.
+    """
+    linger = struct.pack("ii", 1, 0)  # on, for zero seconds
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def _is_signalled(fd: int, events: int) -> bool:
     poll = select.poll()
     try:
--- a/tests/deadlines/test_partly_written_requests.py
+++ b/tests/deadlines/test_partly_written_requests.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
@@ -13,6 +14,7 @@
 import pytest
 
 from query_broker.deadlines.handover_checks import StopReason
+from query_broker.dispatch.undelivered_attempts import DELIVERY_TIME_NS
 from query_broker.protocols import client_frames as frames
 from query_broker.protocols import resp
 
@@ -33,6 +35,7 @@
 
 POLICY_LIMITS = platform_settings()["policy_limits"]
 CANCEL_LIMITS = {**POLICY_LIMITS, "cancel": True}
+NS_PER_S = 1_000_000_000
 ROWS = b"a\tb\tc\n"
 ID_1 = request_id(1).encode()
 ID_2 = request_id(2).encode()
@@ -61,6 +64,70 @@
         assert not broker.node.dispatcher.requests
 
 
+#: The broker's system takes all of it, while a part does not fit into the engine's buffer.
+BUFFERED_STATEMENT = b"SELECT 1 FROM sales_17.orders /* " + b"x" * 15_000 + b" */"
+
+
+async def send_buffered_request(broker: RunningBroker, client: Client, number: int) -> None:
+    """Send a request, and wait until the broker's system has taken all of it."""
+    client.send_request(
+        number,
+        body=BUFFERED_STATEMENT,
+        trace=request_id(number),
+        patience="5000",
+        route="stock-add",
+        weight="1.0",
+    )
+    await until(lambda: engine_connections(broker))
+    (connection,) = engine_connections(broker)
+    await until(lambda: connection.in_flight[request_id(number).encode()].written_ns)
+
+
+@pytest.mark.parametrize("end_request", [cancel_request, close_connection])
+@pytest.mark.parametrize("limits", [POLICY_LIMITS, CANCEL_LIMITS], ids=["no undo", "undo"])
+@on_uvloop
+async def test_a_request_that_lies_in_the_send_buffer_never_begins_after_its_client_left(
+    end_request: Callable[[Client], Awaitable[None]], limits: dict[str, Any]
+) -> None:
+    # Guards against a load that begins when a hung engine goes on, seconds after its cancellation.
+    async with (
+        slow_engine() as slow,
+        broker_with_engine_ports(slow.port, policy_limits=limits) as broker,
+    ):
+        client = await broker.client()
+        await send_buffered_request(broker, client, 1)
+        await end_request(client)
+        await until(lambda: not engine_connections(broker))
+        await slow.read_rounds(50)
+        assert not slow.commands
+        assert not broker.node.dispatcher.requests
+
+
+@on_uvloop
+async def test_a_connection_in_whose_send_buffer_a_wanted_request_lies_stays_open() -> None:
+    async with slow_engine() as slow, broker_with_engine_ports(slow.port) as broker:
+        broker.node.dispatcher.pools.max_connections = 1
+        client = await broker.client()
+        await send_buffered_request(broker, client, 1)
+        client.send_request(2, trace=request_id(2), patience="30000", weight="1.0")
+        client.send(frames.ABANDON, 1)
+        await asyncio.sleep(3 * DELIVERY_TIME_NS / NS_PER_S)
+        await slow.read_until(lambda: len(slow.requests()) == 2)
+        next(iter(slow.buffers)).send(resp.encode(ID_2, b"served", b"chunks=1", ROWS))
+        assert (await client.answer())[:2] == (2, frames.SERVED)
+
+
+@on_uvloop
+async def test_a_connection_whose_requests_were_delivered_stays_open() -> None:
+    async with slow_engine() as slow, broker_with_engine_ports(slow.port) as broker:
+        client = await broker.client()
+        client.send_request(1, trace=request_id(1), weight="1.0")
+        await slow.read_until(slow.requests)
+        client.send(frames.ABANDON, 1)
+        await asyncio.sleep(3 * DELIVERY_TIME_NS / NS_PER_S)
+        assert len(engine_connections(broker)) == 1
+
+
 class SharedConnection(NamedTuple):
     """A connection that carries request 1, which the engine has, and a part of request 2."""
 
