Let the timers of each cell's decisions fire, and check overriding methods

Cause: CellFacade overrode a private method of Facade, _fired, which renamed to _timer_callback in Facade alone. Due timers went to a queue that nobody served.

Change: the method has the name that Facade calls.

Evidence: tests/cells/test_cell_timers on a broker with two cells: both tests fail before the fix (no control period ends within 10 s; the table of timers keeps the ended requests) and pass after. A trial with the method renamed in Facade alone: mypy rejects CellFacade ("marked as an override, but no base method was found").

tests/cells and tests/operator_config: 178 passed.

--- a/benchmarks/erratic_engine.py
+++ b/benchmarks/erratic_engine.py
@@ -8,6 +8,7 @@
 import time
 from typing import Any, NamedTuple
 
+from query_broker.overriding import override
 from query_broker.protocols import resp
 
 #: Small, so that the rest of a large statement waits in the broker.
@@ -43,6 +44,7 @@
         self.transport: Any = None
         self._buffer = bytearray()
 
+    @override
     def connection_made(self, transport: Any) -> None:
         """Add this connection to those of the engine."""
         self.transport = transport
@@ -50,10 +52,12 @@
             transport.pause_reading()
         self.engine.connections.add(self)
 
+    @override
     def connection_lost(self, exc: Exception | None) -> None:
         """Remove this connection from those of the engine."""
         self.engine.connections.discard(self)
 
+    @override
     def data_received(self, data: bytes) -> None:
         """Handle the complete commands."""
         self._buffer += data
--- a/benchmarks/quotas.py
+++ b/benchmarks/quotas.py
@@ -37,6 +37,7 @@
 from query_broker.outlier_consensus.messages import Endpoint, ObserverReports
 from query_broker.outlier_consensus.observations import ObservationStore
 from query_broker.outlier_consensus.settings import OutlierConsensusSettings, gossip_rounds
+from query_broker.overriding import override
 from query_broker.quotas.settings import LimitSettings, QuotaSettings
 
 from .harness.arguments import benchmark_parser
@@ -136,6 +137,7 @@
 
     failed_queries = 0
 
+    @override
     def execute(
         self, query_id: bytes, request_class: str, work_ns: float, threads: int, completion: Any
     ) -> None:
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -11,6 +11,7 @@
 from query_broker.emulator.discovery_service import EmulatedDiscoveryService, target_entry
 from query_broker.emulator.machine import Machine
 from query_broker.emulator.processes import BrokerProcess
+from query_broker.overriding import override
 
 from .audit import Pause
 from .scenario import BrokerSignal, EngineEvent, EngineFault, SignalEvent
@@ -31,6 +32,7 @@
         super().__init__()
         self.is_silent = False
 
+    @override
     def _broadcast(self, line: bytes) -> None:
         if not self.is_silent:
             super()._broadcast(line)
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from query_broker.emulator.clients import LENGTH_BYTES, MEMORY_MB, NS_PER_MS
+from query_broker.overriding import override
 from query_broker.protocols import client_frames as frames
 
 #: A request sent at most this long before the broker closed an idle connection crossed the close on
@@ -67,15 +68,18 @@
         self.unmatched_answers = 0
         self._buffer = bytearray()
 
+    @override
     def connection_made(self, transport: Any) -> None:
         """Keep the transport."""
         self.transport = transport
 
+    @override
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the end of the connection for all open requests."""
         self._end(was_reset=isinstance(exc, ConnectionResetError))
         self.transport = None
 
+    @override
     def eof_received(self) -> bool:
         """Record the end: no further answer can arrive."""
         self._end(was_reset=False)
@@ -128,6 +132,7 @@
                 del self.open_requests[stream]
                 return
 
+    @override
     def data_received(self, data: bytes) -> None:
         """Record each answer that has arrived completely."""
         self._buffer += data
--- a/query_broker/cells/cell_facade.py
+++ b/query_broker/cells/cell_facade.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from ..decisions.facade import Facade, OrderBatch, Settings
+from ..overriding import override
 from ..timer_wheel import TimerWheel
 
 
@@ -46,7 +47,8 @@
         self._due_facades = due_facades
         super().__init__(settings, seed, now_ns, timer_wheel)
 
-    def _fired(self, token: int) -> Callable[[], None]:
+    @override
+    def _timer_callback(self, token: int) -> Callable[[], None]:
         return lambda: self._timer_due(token)
 
     def _timer_due(self, token: int) -> None:
--- a/query_broker/cells/cell_pools.py
+++ b/query_broker/cells/cell_pools.py
@@ -8,6 +8,7 @@
 from ..endpoints.connection_pools import DEDICATED_FRACTION, ConnectionPools
 from ..endpoints.pool_interfaces import HandOverPolicy, UnsentObserver
 from ..log import LogWriter
+from ..overriding import override
 from ..protocols.engine_connection import EngineConnection, EngineConnectionOwner
 from .borrowing import RESERVED_FRACTION, Account, Ledger
 from .request_accounting import RequestAccounting
@@ -96,6 +97,7 @@
         available = self.ledger.free() - self.ledger.reserved_for_others(cell)
         return max(account.quota, account.in_use + max(0, available))
 
+    @override
     def dedicated_limit(self, pool: ConnectionPool) -> int:
         """Return how many dedicated connections each endpoint of the cell may have."""
         cell = self.cell(pool)
@@ -109,6 +111,7 @@
         )
         return max(1, int(allowance * DEDICATED_FRACTION) // max(1, endpoint_count))
 
+    @override
     def has_dedicated_capacity(self, pool: ConnectionPool) -> bool:
         """Return whether an attempt may get a dedicated connection.
 
@@ -123,6 +126,7 @@
             return False
         return self.ledger.free() > 0 or bool(self._idle_connections())
 
+    @override
     def reserve_descriptor(self, pool: ConnectionPool) -> bool:
         """Return whether the connection that is opening may stay; close an idle one if needed.
 
--- a/query_broker/cells/client_admission.py
+++ b/query_broker/cells/client_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ..overriding import override
 from ..protocols.client_connection import ClientConnection
 from ..server.client_admission import ClientAdmission
 from ..server.host import NodeContext
@@ -23,10 +24,12 @@
         self._dispatcher = dispatcher
         self._read_turns = read_turns
 
+    @override
     def make_room(self) -> bool:
         """Account a new connection as unassigned; its first request assigns it to a cell."""
         return self._acquire_connection(UNASSIGNED)
 
+    @override
     def discard(self, connection: ClientConnection) -> None:
         """Release a connection's charge to its cell, and remove it from the read queue."""
         assert isinstance(connection, CellClientConnection)
@@ -35,6 +38,7 @@
             self.connections.discard(connection)
             self._dispatcher.connections.release(connection.cell, 1)
 
+    @override
     def close_slow_readers(self, now_ns: int) -> None:
         """Close overdue and slow readers, and call in borrowed connections."""
         ledger = self._dispatcher.answers
--- a/query_broker/cells/client_connection.py
+++ b/query_broker/cells/client_connection.py
@@ -4,6 +4,7 @@
 
 from typing import Protocol
 
+from ..overriding import override
 from ..protocols.client_connection import ClientConnection, ClientHost
 from .client_seat import UNASSIGNED, CellClient
 from .read_turns import ReadTurns
@@ -82,6 +83,7 @@
         self.accounted_bytes = 0
         super().__init__(host, CellLimits(host, self))
 
+    @override
     def assign_to_cell(self, cell: str) -> bool:
         """Account the connection to this cell; return False if the cell has no capacity for it."""
         return cell == self.cell or self._accounting.assign_to_cell(self, cell)
--- a/query_broker/cells/dispatcher.py
+++ b/query_broker/cells/dispatcher.py
@@ -12,6 +12,7 @@
 from ..endpoints.connection_pools import ConnectionPools
 from ..log import LogWriter
 from ..metrics import ReplyStatus
+from ..overriding import override
 from ..timer_wheel import Clock
 from .borrowing import Ledger
 from .cell_metrics import ReplyKey, render_cell_metrics
@@ -74,6 +75,7 @@
         """The decisions of all cells."""
         return cast(CellRouter, self.facade)
 
+    @override
     def make_facade(self, now_ns: int) -> Facade:
         """Create the router, which has all methods of a facade that a dispatcher calls."""
         router = CellRouter(
@@ -86,6 +88,7 @@
         )
         return cast(Facade, router)
 
+    @override
     def make_connection_pools(self) -> ConnectionPools:
         """Create the pools, which account each connection to a cell."""
         config = self.config
@@ -99,11 +102,13 @@
         )
         return self.cell_pools
 
+    @override
     def apply_capacity_share(self, processes: int, other_process_clients: int) -> None:
         """Set this process's quota of the limits and divide it among the cells."""
         super().apply_capacity_share(processes, other_process_clients)
         self._divide_among_cells()
 
+    @override
     def apply_settings(self, config: Config) -> None:
         """Put another configuration in force."""
         super().apply_settings(config)
@@ -145,6 +150,7 @@
         """Close the subject's open requests in the cell with a final answer."""
         self.report_event(CloseRequests(self.router.requests_of(subject, cell)))
 
+    @override
     def admit(
         self, client: Client, stream: int, parsed: ParsedRequest, received_ns: int = 0
     ) -> ActiveRequest:
@@ -170,6 +176,7 @@
                 assignment = Assignment(routed.subject, routed.facade.cell)
         return assignment
 
+    @override
     def has_statement_capacity(self, request: ActiveRequest) -> bool:
         """Account a request to its cell; return False if the cell has no capacity for it.
 
@@ -190,6 +197,7 @@
             return False
         return True
 
+    @override
     def begin_answer(self, request: ActiveRequest, status: ReplyStatus) -> Client:
         """Return the client that gets the final answer, and count the answer for the cell."""
         routed = self.router.requests.get(request.id)
@@ -202,12 +210,14 @@
         self.replies[key] = self.replies.get(key, 0) + 1
         return super().begin_answer(request, status)
 
+    @override
     def release(self, request: ActiveRequest) -> None:
         """Remove a request that has ended and release its charge."""
         super().release(request)
         if request.id not in self.requests:
             self.accounting.release(request.id)
 
+    @override
     def tick(self) -> None:
         """Do the periodic work, and every `CALL_IN_PERIOD_NS` call in borrowed capacity."""
         super().tick()
@@ -219,6 +229,7 @@
             self.cell_pools.call_in(now_ns)
             self.carry_out(now_ns, self.router.report_former_cells(now_ns))
 
+    @override
     def metrics(self) -> bytes:
         """Return the metrics in the text format of Prometheus."""
         return super().metrics() + render_cell_metrics(self, self.now())
--- a/query_broker/cells/node.py
+++ b/query_broker/cells/node.py
@@ -11,6 +11,7 @@
 from ..operator_config.script import OperatorFileError
 from ..operator_config.service import ConfiguredNode
 from ..operator_config.settings import OperatorConfig
+from ..overriding import override
 from ..protocols.client_connection import ClientConnection
 from ..server.client_admission import ClientAdmission
 from ..server.process_status import KEY_ACCEPTING, KEY_CELLS, ProcessStatus
@@ -75,10 +76,12 @@
         assert isinstance(self.dispatcher, CellDispatcher)
         return self.dispatcher
 
+    @override
     def make_dispatcher(self) -> Dispatcher:
         """Create the dispatcher with the cells of the map."""
         return CellDispatcher(self.config, self.clock, self.log, self.map, self.process_name)
 
+    @override
     def make_admission(self) -> ClientAdmission:
         """Create the admission of client connections and the scheduling of their reads."""
         weights = self.celled.cell_weights_with_unassigned()
@@ -86,10 +89,12 @@
         self.connection_accounting = CellAdmission(self, self.celled, self.read_turns)
         return self.connection_accounting
 
+    @override
     def make_connection(self) -> ClientConnection:
         """Create the protocol of a connection that has just been accepted."""
         return CellClientConnection(self)
 
+    @override
     def after_tick(self) -> None:
         """Begin a round of reads and advance the migrations."""
         super().after_tick()
@@ -99,6 +104,7 @@
         except Exception as error:  # a fault here must not prevent the rest of the tick
             self.log("fault", f"cells: {type(error).__name__}: {error}")
 
+    @override
     def status_extension(self) -> dict[str, Any]:
         """Return the status of the cells, for the other processes."""
         router = self.celled.router
@@ -110,6 +116,7 @@
             router.seats.placement.seats,
         )
 
+    @override
     def apply_peer_statuses(self, others: Collection[ProcessStatus]) -> None:
         """Apply what the other processes have published: maps, seats and migrations."""
         super().apply_peer_statuses(others)
@@ -185,6 +192,7 @@
                 f"among them {unknown[0]!r}",
             )
 
+    @override
     def check_operator_config(self, operator_config: OperatorConfig) -> OperatorConfig:
         """Reject a file that must not replace the one in force.
 
@@ -209,6 +217,7 @@
             )
         return ""
 
+    @override
     def apply_operator_config(self, operator_config: OperatorConfig) -> None:
         """Put another operators' file and its map in force."""
         super().apply_operator_config(operator_config)
--- a/query_broker/cli/lazy_group.py
+++ b/query_broker/cli/lazy_group.py
@@ -7,6 +7,8 @@
 
 import click
 
+from ..overriding import override
+
 
 class LazyGroup(click.Group):
     """A click group that imports the actual group on first use.
@@ -24,10 +26,12 @@
         loaded: click.Group = getattr(import_module(self.module, __package__), self.group_name)
         return loaded
 
+    @override
     def list_commands(self, ctx: click.Context) -> list[str]:
         """Return the names of the sub-commands."""
         return self._load().list_commands(ctx)
 
+    @override
     def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
         """Return the sub-command of a name, or None if there is none."""
         return self._load().get_command(ctx, name)
--- a/query_broker/decisions/concurrency_limit.py
+++ b/query_broker/decisions/concurrency_limit.py
@@ -10,6 +10,7 @@
 
 from dataclasses import dataclass, field
 
+from ..overriding import override
 from .accounting import DecayingMean
 from .fuzzy_control import fuzzy_step
 
@@ -159,6 +160,7 @@
 
     mean_threads: DecayingMean
 
+    @override
     def quota_ratio(self, now_ns: int, extra_threads: int) -> float:
         """Return the mean of the threads in flight, divided by the quota."""
         return self.mean_threads.mean_at(now_ns) / self.thread_quota
--- a/query_broker/decisions/tracked_endpoint.py
+++ b/query_broker/decisions/tracked_endpoint.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass, field
 
+from ..overriding import override
 from .accounting import Attempt, SlidingSum
 from .concurrency_limit import THREADS_PER_CORE, ConcurrencyLimit
 from .events import EndpointEntry, LoadReport, OutstandingWork
@@ -90,6 +91,7 @@
         """Return the thread-nanoseconds that an amount of work takes at the present slowdown."""
         return int(work_ns * max(1.0, self.slowdown))
 
+    @override
     def is_under_pressure(self, now_ns: int) -> bool:
         """Whether its load report, answers, a rejection or the threads in flight show pressure."""
         # super() fails here: with slots=True the dataclass decorator creates a new class.
--- a/query_broker/discovery/watch_connection.py
+++ b/query_broker/discovery/watch_connection.py
@@ -8,6 +8,7 @@
 import asyncio
 from typing import Protocol, cast
 
+from ..overriding import override
 from .event_codec import InvalidEventError, LineParser
 
 
@@ -56,6 +57,7 @@
         self.parser = LineParser()
         self.transport: asyncio.Transport | None = None
 
+    @override
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the request, with the offset of the latest known event."""
         # uvloop's transports are not subclasses of asyncio's, so isinstance can't narrow the type:
@@ -64,6 +66,7 @@
         self.transport.write(b"from %d\n" % self.owner.last_offset)
         self.owner.connection_up(self)
 
+    @override
     def data_received(self, data: bytes) -> None:
         """Pass on the complete lines; drop the connection if one is rejected."""
         self.owner.bytes_received()
@@ -77,6 +80,7 @@
             self.owner.line_rejected(f"{type(error).__name__}: {error}")
             self.drop()
 
+    @override
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end of the connection, whichever side closed it."""
         self.transport = None
--- a/query_broker/emulator/clients.py
+++ b/query_broker/emulator/clients.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from ..overriding import override
 from ..protocols import client_frames as frames
 
 NS_PER_MS = 1_000_000
@@ -74,10 +75,12 @@
         self.readiness: asyncio.Future[bool] | None = None
         self.broker_draining = False
 
+    @override
     def connection_made(self, transport: Any) -> None:
         """Store the transport."""
         self.transport = transport
 
+    @override
     def connection_lost(self, exc: Exception | None) -> None:
         """Abandon the open requests; their records keep the code for no answer."""
         self.transport = None
@@ -117,6 +120,7 @@
         self.transport.write(frames.frame(frames.ASK_READY, 0, b"\0"))
         return self.readiness
 
+    @override
     def data_received(self, data: bytes) -> None:
         """Handle the frames that are complete."""
         self.buffer += data
--- a/query_broker/emulator/data_engine.py
+++ b/query_broker/emulator/data_engine.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from ..overriding import override
 from ..protocols import resp
 from .machine import Machine, QueryRun
 
@@ -135,6 +136,7 @@
         self.parser = resp.RespParser()
         self.transport: asyncio.Transport | None = None
 
+    @override
     def connection_made(self, transport: Any) -> None:
         """Register with the engine."""
         self.transport = transport
@@ -142,11 +144,13 @@
         if self.engine.connection_observer is not None:
             self.engine.connection_observer(time.monotonic())
 
+    @override
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister from the engine; queries of this connection keep running."""
         self.transport = None
         self.engine.connections.discard(self)
 
+    @override
     def data_received(self, data: bytes) -> None:
         """Pass complete commands to the engine."""
         for parts in self.parser.feed(data):
--- a/query_broker/emulator/faulty_links.py
+++ b/query_broker/emulator/faulty_links.py
@@ -21,6 +21,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from ..overriding import override
+
 HOST = "127.0.0.1"
 #: More than the connections that any test opens at once.
 ACCEPT_BACKLOG = 1_024
@@ -287,6 +289,7 @@
         self.transport, _ = await loop.create_datagram_endpoint(lambda: self, (HOST, self.port))
         return self.port
 
+    @override
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Forward a datagram; faults do not apply if its sender is unknown."""
         sender = self.network.by_listening_address.get(addr)
--- a/query_broker/membership/datagrams.py
+++ b/query_broker/membership/datagrams.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from typing import Protocol
 
+from ..overriding import override
 from .addresses import MAX_LOGGED_ADDRESS_CHARACTERS, split_address
 from .codec import PROTOCOL_VERSION
 from .errors import MessageRejectedError
@@ -53,6 +54,7 @@
         """Register the handler of a topic's messages."""
         self._topics[topic] = handler
 
+    @override
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Process a datagram unless the rate limit is exceeded."""
         now_ns = self._host.now_ns()
@@ -67,6 +69,7 @@
             self._host.log(f"processing a datagram failed: {type(error).__name__}: {error}")
         self._host.carry_out(now_ns)
 
+    @override
     def error_received(self, exc: Exception) -> None:
         """Ignore an ICMP error; the datagram counts as lost."""
 
--- a/query_broker/operator_config/service.py
+++ b/query_broker/operator_config/service.py
@@ -14,6 +14,7 @@
 from ..deadlines.settings import DeadlineSettings
 from ..discovery.event_codec import EndpointListEvent
 from ..discovery.watch_client import WatchClient
+from ..overriding import override
 from ..protocols.client_connection import ClientConnection
 from ..server.node import Node
 from .apply import LogFormat, apply_deadlines, apply_retry_budget
@@ -114,10 +115,12 @@
 
     # Extension points of ``Node``.
 
+    @override
     def ready(self) -> bool:
         """Return whether the node and its start-up are ready for requests."""
         return super().ready() and (self.startup_service is None or self.startup_service.ready())
 
+    @override
     def admit(self, connection: ClientConnection) -> bool:
         """Admit a client connection if there is capacity, and pass it to the start-up service."""
         if not super().admit(connection):
@@ -126,6 +129,7 @@
             self.startup_service.client_connected(connection)
         return True
 
+    @override
     def make_watch_client(self, address: tuple[str, int]) -> WatchClient:
         """Create the client that watches the endpoint list, paced while the fleet starts."""
         watch_client = super().make_watch_client(address)
@@ -133,17 +137,20 @@
             self.startup_service.pace_watch_client(watch_client)
         return watch_client
 
+    @override
     def endpoint_list_changed(self, event: EndpointListEvent) -> None:
         """Apply a change of the endpoint list."""
         super().endpoint_list_changed(event)
         if self.startup_service is not None:
             self.startup_service.watch_event_received()
 
+    @override
     async def open_sockets(self) -> None:
         """Open the sockets of the membership service."""
         if self.membership_service is not None:
             await self.membership_service.open()
 
+    @override
     def stop(self) -> None:
         """Stop the services, then the node."""
         if self.startup_service is not None:
@@ -152,6 +159,7 @@
             self.membership_service.stop()
         super().stop()
 
+    @override
     def after_tick(self) -> None:
         """Run the periodic work of the services."""
         super().after_tick()
@@ -210,6 +218,7 @@
 
     # Reload at SIGHUP.
 
+    @override
     def reload(self) -> None:
         """Reload both files; neither is applied if one of them is rejected."""
         if self.shutdown.started:
@@ -226,6 +235,7 @@
         if self.quota_service is not None:
             self.quota_service.configure()
 
+    @override
     def apply_config(self, config: Config) -> None:
         """Apply the platform settings, and the operators' file of the same reload."""
         super().apply_config(config)
--- a/query_broker/outlier_consensus/service.py
+++ b/query_broker/outlier_consensus/service.py
@@ -11,6 +11,7 @@
 from ..decisions.facade import AttemptResult
 from ..dispatch.observers import DispatchObserver
 from ..endpoints.administrative_state import AdministrativeState
+from ..overriding import override
 from ..protocols.operator_answers import HttpAnswer
 from ..quotas.batching import message_bodies
 from ..quotas.collaborators import GossipMembership
@@ -166,6 +167,7 @@
 
     # --- own observations ---
 
+    @override
     def attempt_ended(self, endpoint: int, result: AttemptResult) -> None:
         """Record the outcome of an attempt."""
         succeeded = result in SUCCESS_RESULTS
@@ -175,6 +177,7 @@
         if observed is not None:
             self.observations.record(self.host.clock.now(), observed, succeeded)
 
+    @override
     def health_check_ended(self, endpoint: int, result: AttemptResult) -> None:
         """Record the outcome of a health check of an ejected endpoint."""
         observed = self.directory.endpoint(endpoint)
@@ -242,6 +245,7 @@
 
     # --- operators ---
 
+    @override
     def endpoint_administered(self, uid: str, disabled: bool) -> None:
         """Set an override for all brokers when an operator disables or enables an endpoint here."""
         value = OverrideValue.DISABLED if disabled else OverrideValue.ENABLED
--- a/query_broker/protocols/client_connection.py
+++ b/query_broker/protocols/client_connection.py
@@ -10,6 +10,7 @@
 from typing import Protocol, cast
 
 from ..deadlines.settings import HalfClosePolicy
+from ..overriding import override
 from . import client_frames as frames
 from .client_reader import ClientReader, ReadingHost, ReadingLimits
 from .client_requests import OpenRequests
@@ -107,6 +108,7 @@
 
     # Called by the transport.
 
+    @override
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to serve the client, or end the connection if it is not admitted."""
         self.transport = cast(asyncio.Transport, transport)
@@ -117,6 +119,7 @@
             self.broken = True
             self.transport.abort()
 
+    @override
     def data_received(self, data: bytes) -> None:
         """Read the bytes, or discard them if the connection is broken."""
         if self.broken:
@@ -125,6 +128,7 @@
         self.last_used_ns = self.host.dispatcher.now()
         self.reader.receive(data)
 
+    @override
     def eof_received(self) -> bool:
         """Handle the client's half-close: cancel its requests, or wait for their answers.
 
@@ -145,6 +149,7 @@
             self.close()
         return True
 
+    @override
     def connection_lost(self, exc: Exception | None) -> None:
         """Release the resources of the connection, and cancel its requests."""
         self.broken = True
@@ -159,6 +164,7 @@
         self.timeouts.connection = LOST_CONNECTION
         self.requests.client = LOST_CONNECTION
 
+    @override
     def pause_writing(self) -> None:
         """Stop taking requests; the client's frames are read only to find cancellations.
 
@@ -167,6 +173,7 @@
         self.paused_since_ns = self.host.dispatcher.now()
         self.reader.pause_or_resume_reading()
 
+    @override
     def resume_writing(self) -> None:
         """Take requests again."""
         self.paused_since_ns = 0
--- a/query_broker/protocols/engine_connection.py
+++ b/query_broker/protocols/engine_connection.py
@@ -13,6 +13,7 @@
 
 from ..decisions.facade import AttemptResult
 from ..dispatch.requests import Attempt
+from ..overriding import override
 from . import engine_messages as messages
 from . import resp
 from .engine_answers import AnswerObserver, EngineAnswers
@@ -256,6 +257,7 @@
 
     # Called by the transport.
 
+    @override
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to send and to read."""
         now_ns = self.owner.now()
@@ -263,6 +265,7 @@
         self.transport = cast(asyncio.Transport, transport)
         self.writer.attach(self.transport, now_ns)
 
+    @override
     def data_received(self, data: bytes) -> None:
         """Handle the answers that are complete.
 
@@ -288,6 +291,7 @@
                 f"{type(error).__name__} while handling an answer: {error}", ended_by_broker=True
             )
 
+    @override
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the loss, unless it was reported when this broker ended the connection."""
         self._end("closed by the engine" if exc is None else str(exc), ended_by_broker=False)
--- a/query_broker/protocols/operator_http.py
+++ b/query_broker/protocols/operator_http.py
@@ -8,6 +8,7 @@
 
 import httptools
 
+from ..overriding import override
 from ..timer_wheel import Timer, TimerWheel
 from .operator_answers import HttpAnswer, OperatorCallError, encode_answer, text_answer
 from .operator_calls import OperatorActions, answer_call
@@ -69,6 +70,7 @@
 
     # Called by the transport.
 
+    @override
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timeout of the connection.
 
@@ -79,6 +81,7 @@
         self.timer = self.host.timer_wheel.set_timer(due_ns, self._on_timeout)
         self.host.admit(self)
 
+    @override
     def data_received(self, data: bytes) -> None:
         """Feed the parser, and answer a call that cannot be read."""
         if self.answered:
@@ -112,12 +115,14 @@
         self.host.log("fault", "".join(traceback.format_exception(error)))
         self._write(text_answer(500, "internal error"))
 
+    @override
     def eof_received(self) -> bool:
         """Answer an incomplete call; a caller that half-closes still gets its answer."""
         if not self.answered:
             self._write(text_answer(400, "the call is not whole"))
         return False
 
+    @override
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the timer, and release the connection's slot at the host."""
         self.transport = None
--- a/query_broker/quotas/service.py
+++ b/query_broker/quotas/service.py
@@ -13,6 +13,7 @@
 from ..decisions.facade import EndpointState, Settings
 from ..dispatch.observers import DispatchObserver
 from ..endpoints.endpoint_table import has_warming_endpoint
+from ..overriding import override
 from ..protocols.operator_answers import HttpAnswer
 from ..token_bucket import TokenBucket
 from .admin import QuotaAdmin
@@ -154,6 +155,7 @@
 
     # --- requests ---
 
+    @override
     def request_arrived(self, parsed: ParsedRequest, now_ns: int) -> None:
         """Count a request before the decision on it.
 
--- a/query_broker/server/structured_log.py
+++ b/query_broker/server/structured_log.py
@@ -15,6 +15,7 @@
 from ..dispatch.observers import DispatchObserver, RequestEnding
 from ..dispatch.requests import ActiveRequest, Attempt
 from ..log import Log
+from ..overriding import override
 from ..timer_wheel import Clock
 
 NS_PER_MS = 1_000_000
@@ -112,6 +113,7 @@
         self._structured_log = structured_log
         self._clock = clock
 
+    @override
     def request_ended(self, request: ActiveRequest, ending: RequestEnding) -> None:
         """Write the trace of a request that has ended, if it is late or sampled."""
         now_ns = self._clock.now()
--- a/query_broker/startup/service.py
+++ b/query_broker/startup/service.py
@@ -10,6 +10,7 @@
 
 from ..decisions.facade import AttemptResult
 from ..discovery.watch_client import WatchClient
+from ..overriding import override
 from ..protocols.client_connection import ClientConnection
 from ..protocols.operator_answers import HttpAnswer
 from ..server.host import NodeContext
@@ -122,10 +123,12 @@
 
     # Called by the dispatcher.
 
+    @override
     def health_check_ended(self, endpoint: int, result: AttemptResult) -> None:
         """Count the endpoint as contacted if it has answered or rejected the health check."""
         self._initial_checks.health_check_ended(endpoint, result)
 
+    @override
     def connect_delay_ns(self, endpoint: int) -> int:
         """Return the time until this broker's connection slot at an endpoint, in nanoseconds.
 
@@ -142,6 +145,7 @@
         )
         return slot_ns - now_ns
 
+    @override
     def metrics(self) -> bytes:
         """Return the lines for the metrics."""
         return metrics_text(self._stages, self._node.clock.now())
--- a/tests/config/test_config.py
+++ b/tests/config/test_config.py
@@ -19,6 +19,7 @@
     parse,
 )
 from query_broker.decisions.settings import Effect
+from query_broker.overriding import override
 
 from ..support import deployments
 from ..support.sockets import MS, platform_settings, target_entry, topology_event
@@ -194,6 +195,7 @@
         self.section = section
         self.read = read
 
+    @override
     def get(self, key: str, default: Any = None) -> Any:
         self.read.setdefault(self.section, set()).add(key)
         return super().get(key, default)
--- a/tests/deadlines/test_structured_log.py
+++ b/tests/deadlines/test_structured_log.py
@@ -10,6 +10,7 @@
 from query_broker.dispatch.observers import RequestEnding
 from query_broker.dispatch.requests import ActiveRequest, Attempt
 from query_broker.log import Log
+from query_broker.overriding import override
 from query_broker.server.structured_log import StructuredLog, TraceObserver, is_sampled
 from query_broker.timer_wheel import Clock
 
@@ -25,6 +26,7 @@
         super().__init__()
         self.now_ns = now_ns
 
+    @override
     def now(self) -> int:
         """Return the time that the test has set."""
         return self.now_ns
--- a/tests/decisions/dispatcher_harness.py
+++ b/tests/decisions/dispatcher_harness.py
@@ -20,6 +20,7 @@
 from query_broker.dispatch.requests import Client as RequestClient
 from query_broker.dispatch.validation import ParsedRequest
 from query_broker.endpoints.connection_pool import ConnectionPool
+from query_broker.overriding import override
 from query_broker.protocols import resp
 from query_broker.protocols.engine_connection import EngineConnection
 from query_broker.timer_wheel import Clock
@@ -38,6 +39,7 @@
     def __init__(self) -> None:
         self.time_ns = 100 * S
 
+    @override
     def now(self) -> int:
         return self.time_ns
 
--- a/tests/dispatch/test_observers.py
+++ b/tests/dispatch/test_observers.py
@@ -16,6 +16,7 @@
 from query_broker.dispatch.observers import DispatchExtensions, DispatchObserver, RequestEnding
 from query_broker.dispatch.requests import ActiveRequest
 from query_broker.dispatch.validation import ParsedRequest
+from query_broker.overriding import override
 
 from ..support.sockets import on_uvloop
 from .dispatchers import list_endpoint, make_dispatcher
@@ -37,18 +38,23 @@
         self.name = name
         self.calls = calls
 
+    @override
     def request_arrived(self, parsed: ParsedRequest, now_ns: int) -> None:
         self._record("arrived", parsed.class_name)
 
+    @override
     def request_ended(self, request: ActiveRequest, ending: RequestEnding) -> None:
         self._record("ended", ending)
 
+    @override
     def attempt_ended(self, endpoint: int, result: AttemptResult) -> None:
         self._record("attempt", result)
 
+    @override
     def health_check_ended(self, endpoint: int, result: AttemptResult) -> None:
         self._record("health check", (endpoint, result))
 
+    @override
     def endpoint_administered(self, uid: str, disabled: bool) -> None:
         self._record("administered", (uid, disabled))
 
--- a/tests/golden/client_wire/engine_connections.py
+++ b/tests/golden/client_wire/engine_connections.py
@@ -8,6 +8,7 @@
 from typing import Any, cast
 
 from query_broker.dispatch.requests import ActiveRequest, Attempt
+from query_broker.overriding import override
 from query_broker.protocols.engine_connection import EngineConnection
 
 NANOSECONDS_PER_MS = 1_000_000
@@ -23,14 +24,17 @@
         super().__init__()
         self.near_socket = near_socket
 
+    @override
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         """Return the socket, the only thing that a connection asks for."""
         return self.near_socket if name == "socket" else default
 
+    @override
     def is_closing(self) -> bool:
         """Return False: the fixture closes the socket."""
         return False
 
+    @override
     def abort(self) -> None:
         """Do nothing: the fixture closes the socket."""
 
--- a/tests/golden/settings/test_command_output.py
+++ b/tests/golden/settings/test_command_output.py
@@ -11,6 +11,7 @@
 from click.testing import CliRunner
 
 from query_broker.cli.main import main
+from query_broker.overriding import override
 
 # A request to the administrative API and its answer.
 ANSWERS: dict[str, str] = {
@@ -185,6 +186,7 @@
 
     do_GET = do_POST = answer  # noqa: N815  # names that http.server looks up
 
+    @override
     def log_message(self, format: str, *args: Any) -> None:
         """Keep the requests off the error output."""
 
--- a/tests/support/members_model.py
+++ b/tests/support/members_model.py
@@ -24,6 +24,7 @@
 from query_broker.membership.incarnations import CHECKPOINT_INTERVAL, IncarnationChain
 from query_broker.membership.messages import Claim, Identity, Message, Status
 from query_broker.membership.settings import NS_PER_S, MembershipSettings
+from query_broker.overriding import override
 
 SETTINGS = MembershipSettings()
 MEMBERS = 3
@@ -80,6 +81,7 @@
 class _Pickler(pickle.Pickler):
     """Leaves out what no event changes."""
 
+    @override
     def persistent_id(self, obj: Any) -> str | None:
         if obj is SETTINGS:
             return SETTINGS_NAME
@@ -87,6 +89,7 @@
 
 
 class _Unpickler(pickle.Unpickler):
+    @override
     def persistent_load(self, name: str) -> Any:
         return SETTINGS if name == SETTINGS_NAME else CHAINS[name]
 
