Accept a reload that leaves out optional keys of the file in force

Cause: a reload turned down any file that lacks a key of the file in force, so that a key removed by mistake would not fall back to its default in silence. A start accepts it.

Change: a reload reads the file as a start does. Each key that the file in force has and the new one lacks is named in the log. Without `bus` the endpoint list is watched on at the former address. A required key that is missing is rejected in one line, as before.

--- a/query_broker/config/__init__.py
+++ b/query_broker/config/__init__.py
@@ -1,7 +1,7 @@
 """The configuration of a broker: schema, reading and checking, defaults, reload.
 
-This module is the public interface of the package. ``load`` reads the file and the environment,
-``parse`` checks the content, ``reload`` does both at SIGHUP, and ``parse_settings`` reads only the
+This module is the public interface of the package. ``load`` reads the file and the environment, at
+the start and at a reload. ``parse`` checks the content, and ``parse_settings`` reads only the
 platform's settings. Every error is a ``ConfigError``, whose text is one line that names the faulty
 key.
 """
@@ -11,7 +11,7 @@
 from .errors import ConfigError
 from .loading import load, parse
 from .platform_settings import parse_settings
-from .reloading import keys_needing_restart, reload
+from .reloading import keys_needing_restart, removed_keys
 from .schema import IGNORED_SETTINGS_KEYS, KNOWN_REPORT_FIELDS, SETTINGS_KEYS
 
 __all__ = [
@@ -24,6 +24,6 @@
     "load",
     "parse",
     "parse_settings",
-    "reload",
+    "removed_keys",
     "keys_needing_restart",
 ]
--- a/query_broker/config/errors.py
+++ b/query_broker/config/errors.py
@@ -36,14 +36,6 @@
         super().__init__(f"{key}: {problem}")
 
 
-class RemovedKeyError(ConfigError):
-    """A key of the configuration in force is missing in the reloaded file."""
-
-    def __init__(self, key: str, path: str) -> None:
-        """Create the error from the missing key and the path of the file."""
-        super().__init__(f"{key}: is missing, in {path}")
-
-
 class UnreadableFileError(ConfigError):
     """The file that ``PROXY_CONFIG`` names can't be read or is not JSON."""
 
--- a/query_broker/config/reloading.py
+++ b/query_broker/config/reloading.py
@@ -1,4 +1,4 @@
-"""Reload at SIGHUP: reports keys that need a restart, and rejects a file that lost keys."""
+"""Reload at SIGHUP: which keys need a restart, and which ones the new file leaves out."""
 
 from __future__ import annotations
 
@@ -6,8 +6,6 @@
 from typing import Any
 
 from .broker_config import Config
-from .errors import RemovedKeyError
-from .loading import load
 
 #: The values that are read only at the start, by their keys. ``bus`` and ``settings`` take effect
 #: at SIGHUP, except for the tick, since the timer wheel is built with the tick of the start.
@@ -22,21 +20,6 @@
 }
 
 
-def reload(running: Config, environ: Mapping[str, str]) -> Config:
-    """Return the configuration that replaces the one in force, from the file.
-
-    A key removed by mistake would silently fall back to its default in a serving broker, so a file
-    that lacks a key of the configuration in force is rejected as a whole.
-
-    Raises:
-        ConfigError: The file is invalid, or lacks a key of the configuration in force.
-    """
-    new_config = load(environ)
-    for key in missing_keys(running.source, new_config.source):
-        raise RemovedKeyError(key, environ["PROXY_CONFIG"])
-    return new_config
-
-
 def keys_needing_restart(running: Config, new_config: Config) -> list[str]:
     """Return the keys whose new values need a restart, sorted."""
     return sorted(
@@ -46,9 +29,12 @@
     )
 
 
-def missing_keys(before: Any, after: Any, prefix: str = "") -> Iterator[str]:
+def removed_keys(before: Any, after: Any, prefix: str = "") -> Iterator[str]:
     """Yield the dotted keys that one JSON value has and another lacks.
 
+    A key that is absent has its default, at the start as at SIGHUP. In a serving broker it may have
+    been removed by mistake, so these keys are logged.
+
     Objects are compared key by key; null counts as absent. For lists of objects, each object of
     ``after`` must have the keys that all objects of ``before`` have.
     """
@@ -57,11 +43,11 @@
             if value is not None and after.get(key) is None:
                 yield prefix + key
             else:
-                yield from missing_keys(value, after.get(key), f"{prefix}{key}.")
+                yield from removed_keys(value, after.get(key), f"{prefix}{key}.")
     elif isinstance(before, list) and isinstance(after, list):
         common_keys = _common_keys(before)
         for entry in after:
-            yield from missing_keys(common_keys, entry, prefix)
+            yield from removed_keys(common_keys, entry, prefix)
 
 
 def _common_keys(entries: list[Any]) -> dict[str, Any]:
--- a/query_broker/server/reload.py
+++ b/query_broker/server/reload.py
@@ -5,11 +5,15 @@
 from collections.abc import Mapping
 from typing import Protocol
 
-from ..config import Config, ConfigError, keys_needing_restart
-from ..config import reload as read_again
+from ..config import Config, ConfigError, keys_needing_restart, load, removed_keys
 from .graceful_shutdown import GracefulShutdown
 from .host import NodeContext
 
+#: What an absent key means, in the log.
+USES_DEFAULT = "its default is used"
+#: The endpoint list is watched on, since a broker that does not watch it misses every drain.
+ABSENT_NOW = {"bus": "the endpoint list is still watched at the former address"}
+
 
 class ReloadableNode(NodeContext, Protocol):
     """The part of a node that the reload needs."""
@@ -48,7 +52,7 @@
             self.node.log("reload", "SIGHUP ignored during the drain")
             return
         try:
-            config = read_again(self.node.config, self.environ)
+            config = load(self.environ)
             self.node.apply_config(config)
         except ConfigError as error:
             self.reject(str(error))
@@ -67,6 +71,8 @@
         self.node.dispatcher.metrics_counts.reloads_applied += 1
         for remark in config.remarks():
             self.node.log("config", remark)
+        for key in removed_keys(self.node.config.source, config.source):
+            self.node.log("config", f"{key}: is absent now: {ABSENT_NOW.get(key, USES_DEFAULT)}")
         restart_keys = keys_needing_restart(self.start_config, config)
         self.node.config = self.node.dispatcher.config
         result = "done"
