Free the bytes of handled frames while a client connection rests

What callers saw: nothing until a memory limit is reached; 341 clients that sent a statement of 240 kB each and then rested held 83 MB.

Cause: a client connection kept the bytes of the frames that it had handled until more bytes arrived, and the memory limits count only what has not been handled.

Change: when a connection accounts for its bytes, the parser frees handled frames of 4 kB and more. A turn that runs later accounts for its bytes too.

--- a/query_broker/protocols/client_connection.py
+++ b/query_broker/protocols/client_connection.py
@@ -219,7 +219,6 @@
         """Handle the frames that wait."""
         if not self.broken:
             self.reader.resume()
-            self.reader.account_partial_frames()
 
     def idle(self) -> bool:
         """Return whether no request is open and no answer waits to be read."""
--- a/query_broker/protocols/client_frames.py
+++ b/query_broker/protocols/client_frames.py
@@ -64,6 +64,8 @@
 MIN_FRAME_LENGTH = 5
 # Largest value of the length field that the protocol allows.
 MAX_FRAME_LENGTH = 262_144
+# Returned frames of fewer bytes stay in the buffer until more bytes arrive.
+MIN_RELEASED_BYTES = 4_096
 # Length, type and stream.
 HEAD = struct.Struct(">IBI")
 # The types that a client may send.
@@ -111,7 +113,7 @@
     Invariant: neither position passes the end of ``buffer``, and no frame is skimmed twice.
 
     Attributes:
-        buffer: The received bytes that `feed` has not dropped.
+        buffer: The received bytes that `feed` and `release_returned` have not dropped.
         read_position: Offset of the next frame; all frames before it have been returned.
         skim_position: Offset where `skim` continues; all frames before it have been skimmed.
     """
@@ -124,10 +126,18 @@
 
     def feed(self, data: bytes) -> None:
         """Add bytes, and drop those of the frames that have been returned."""
+        self._drop_returned()
+        self.buffer += data
+
+    def release_returned(self) -> None:
+        """Free the memory of the frames that have been returned, if it is worth a copy."""
+        if self.read_position >= MIN_RELEASED_BYTES:
+            self._drop_returned()
+
+    def _drop_returned(self) -> None:
         del self.buffer[: self.read_position]
         self.skim_position = max(0, self.skim_position - self.read_position)
         self.read_position = 0
-        self.buffer += data
 
     def skim(self, max_frames: int) -> Iterator[FrameHead]:
         """Yield the heads of complete frames that `next` has not returned, each frame once.
--- a/query_broker/protocols/client_reader.py
+++ b/query_broker/protocols/client_reader.py
@@ -121,7 +121,12 @@
             self.connection.end_with_error(FRAME_MEMORY_EXHAUSTED)
 
     def account_partial_frames(self) -> None:
-        """Account for the bytes in the parser; end the connection if its limits are exceeded."""
+        """Account for the bytes in the parser; end the connection if its limits are exceeded.
+
+        Those of handled frames are not accounted for, so they are freed: a connection may rest for
+        a long time.
+        """
+        self.parser.release_returned()
         buffered_bytes = self.parser.buffered_bytes()
         self.host.partial_frame_bytes += buffered_bytes - self.partial_frame_bytes
         self.partial_frame_bytes = buffered_bytes
@@ -158,6 +163,7 @@
         """Run the next turn."""
         self.read_turn()
         self.pause_or_resume_reading()
+        self.account_partial_frames()
 
     def resume_writing(self) -> None:
         """Handle frames again, after the client has read its answers."""
--- a/tests/protocols/test_client_connections.py
+++ b/tests/protocols/test_client_connections.py
@@ -8,8 +8,9 @@
 import pytest
 
 from query_broker.protocols import client_frames as frames
+from query_broker.protocols.client_frames import MIN_RELEASED_BYTES
 
-from ..support.sockets import MS, make_config, on_uvloop, running, until
+from ..support.sockets import MS, Engine, make_config, on_uvloop, running, until
 from .scripted_engines import broker_with_engines, engine_with_pages
 
 pytestmark = pytest.mark.real_time
@@ -86,3 +87,24 @@
             await until(lambda: [ref() for ref in references] == [None] * len(references))
         finally:
             gc.enable()
+
+
+@on_uvloop
+async def test_the_bytes_of_a_handled_frame_are_freed_while_the_connection_rests() -> None:
+    # Guards against handled frames of all clients that stay in memory and count against no limit.
+    statement = b"SELECT 1 FROM sales_17.orders /* " + b"x" * 20_000 + b" */"
+    async with broker_with_engines(Engine()) as broker:
+        client = await broker.client()
+        client.send_request(1, body=statement)
+        assert (await client.answer())[:2] == (1, frames.SERVED)
+        (connection,) = broker.node.clients
+        parser = connection.reader.parser
+        assert len(parser.buffer) < MIN_RELEASED_BYTES
+        # The beginning of the next frame is kept.
+        client.send_request(2, body=statement, trace="2" * 16)
+        next_frame = frames.frame(frames.ASK_READY, 0, b"\0")
+        client.writer.write(next_frame[:7])
+        assert (await client.answer())[:2] == (2, frames.SERVED)
+        await until(lambda: parser.buffer == next_frame[:7])
+        client.writer.write(next_frame[7:])
+        assert (await client.frame())[0] == frames.READY
