Let stalled clients give way when the memory of incomplete frames is full

Cause: the bound on incomplete frames is one sum over all connections, and passing it ended the connection that had just received something. A frame that its client has written completely arrives in several reads, so it counts as incomplete for a moment.

Change: a frame is read on only if all of it fits. If not, connections end that got less than 4 kB of their frame within 100 ms and have no unread input, the largest and longest idle first; if there is none, the connection waits unread, and its rest stays in the system's buffer. Reads go into one buffer of the broker, so that a connection that has to wait has brought 2 kB. A cell's quota of the same bytes ends stalled connections first, too.

Why it works: the bytes of a request that counts as taken lie in the system's buffer, so its connection is never one that has stalled.

--- a/query_broker/cells/client_admission.py
+++ b/query_broker/cells/client_admission.py
@@ -4,6 +4,7 @@
 
 from ..overriding import override
 from ..protocols.client_connection import ClientConnection
+from ..protocols.partial_frames import FrameHolder
 from ..server.client_admission import ClientAdmission
 from ..server.host import NodeContext
 from .client_connection import CellClientConnection
@@ -133,19 +134,38 @@
                     client.announce_shutdown()
 
     def account_partial_frames(self, connection: CellClientConnection, change_bytes: int) -> bool:
-        """Account a change of incomplete frames; return False if the cell has no capacity."""
+        """Account a change of incomplete frames; return False if the cell has no capacity.
+
+        If it has none, connections of the cell give way to those whose clients go on.
+        """
         ledger = self._dispatcher.frames
         if not change_bytes:
             return True
         if change_bytes < 0:
             ledger.release(connection.cell, -change_bytes)
             return True
-        if not ledger.allows(connection.cell, change_bytes, self.node.clock.now()):
-            connection.accounted_bytes -= change_bytes
-            return False
+        now_ns = self.node.clock.now()
+        has_capacity = ledger.allows(connection.cell, change_bytes, now_ns)
         ledger.force_acquire(connection.cell, change_bytes)
+        while not has_capacity:
+            ended = self._end_one_partial_frame(connection)
+            if ended is None or connection.broken:
+                return False
+            has_capacity = ledger.allows(connection.cell, 0, now_ns)
         return True
 
+    def _end_one_partial_frame(self, connection: CellClientConnection) -> FrameHolder | None:
+        """End a connection in the middle of a frame: of the same cell, or of one that borrows."""
+        ledger = self._dispatcher.frames
+        within_quota = not ledger.borrows(connection.cell)
+        readers: list[FrameHolder] = [
+            client.reader
+            for client in self.connections
+            if isinstance(client, CellClientConnection)
+            and (client.cell == connection.cell or (within_quota and ledger.borrows(client.cell)))
+        ]
+        return self.node.partial_frames.reclaim_from(readers)
+
     def _readers(self, now_ns: int) -> dict[str, list[CellClientConnection]]:
         """Return the clients with unread answers by cell, and drop those past the timeout."""
         timeout_ns = self.node.dispatcher.deadline_controls.settings.slow_reader_timeout_ns
--- a/query_broker/protocols/client_connection.py
+++ b/query_broker/protocols/client_connection.py
@@ -70,7 +70,7 @@
 LOST_CONNECTION = LostConnection()
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """One client connection.
 
     No callback raises an exception.
@@ -120,7 +120,16 @@
             self.transport.abort()
 
     @override
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer of the next read: the smaller it is, the less must be kept."""
+        return self.host.partial_frames.read_buffer(self.reader)
+
+    @override
+    def buffer_updated(self, nbytes: int) -> None:
+        """Read the bytes that have been received into the buffer."""
+        self.data_received(self.host.partial_frames.received_bytes(nbytes))
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Read the bytes, or discard them if the connection is broken."""
         if self.broken:
             self.socket.discard(len(data))
--- a/query_broker/protocols/client_frames.py
+++ b/query_broker/protocols/client_frames.py
@@ -124,7 +124,7 @@
         self.read_position = 0
         self.skim_position = 0
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Add bytes, and drop those of the frames that have been returned."""
         self._drop_returned()
         self.buffer += data
@@ -200,6 +200,18 @@
         length = int.from_bytes(self.buffer[begin : begin + LENGTH_FIELD_BYTES], "big")
         return available > LENGTH_FIELD_BYTES + length
 
+    def missing_bytes(self) -> int:
+        """Return how many bytes the next frame still needs; 0 if it is complete or malformed.
+
+        Until its length has been received, only the missing part of the length is counted.
+        """
+        available = self.buffered_bytes()
+        if available < LENGTH_FIELD_BYTES:
+            return LENGTH_FIELD_BYTES - available
+        begin = self.read_position
+        length = int.from_bytes(self.buffer[begin : begin + LENGTH_FIELD_BYTES], "big")
+        return max(0, min(length, MAX_FRAME_LENGTH) + LENGTH_FIELD_BYTES - available)
+
     def buffered_bytes(self) -> int:
         """Return the number of received bytes whose frames have not been returned yet."""
         return len(self.buffer) - self.read_position
--- a/query_broker/protocols/client_reader.py
+++ b/query_broker/protocols/client_reader.py
@@ -10,6 +10,7 @@
 from .client_lookahead import CancellationLookahead
 from .client_requests import DispatcherHost, OpenRequests
 from .client_socket import ClientSocket
+from .partial_frames import FRAME_MEMORY_EXHAUSTED, MIN_PROGRESS_BYTES, PartialFrameMemory
 
 # Frames of one connection that are handled in one turn, before the turns of other connections.
 FRAMES_PER_TURN = 32
@@ -18,16 +19,14 @@
 # No connection reads ahead while incomplete frames use more than this share of their memory, which
 # is given as a divisor.
 READ_AHEAD_DIVISOR = 2
-FRAME_MEMORY_EXHAUSTED = "no memory left for incomplete frames"
 
 
 class ReadingHost(DispatcherHost, Protocol):
-    """The part of the host that a reader uses.
+    """The part of the host that a reader uses."""
 
-    ``partial_frame_bytes``: bytes of incomplete frames on all connections.
-    """
-
-    partial_frame_bytes: int
+    @property
+    def partial_frames(self) -> PartialFrameMemory:
+        """The memory of the incomplete frames on all connections."""
 
     def ready(self) -> bool:
         """Return whether requests are served; clients' health checks report it."""
@@ -72,6 +71,8 @@
         received_ns: When the first byte of the frame that was handled last was received.
         partial_frame_bytes: Received bytes of frames that have not been handled yet; part of the
             host's sum.
+        last_progress_ns: When the current frame last grew by `MIN_PROGRESS_BYTES`.
+        waits_for_memory: Whether reading is paused until there is memory for the current frame.
     """
 
     def __init__(
@@ -101,10 +102,13 @@
         self.frame_started_ns = connection.last_used_ns
         self.received_ns = connection.last_used_ns
         self.partial_frame_bytes = 0
+        self.last_progress_ns = connection.last_used_ns
+        self.waits_for_memory = False
+        self._progress_mark_bytes = 0  # size of the frame at `last_progress_ns`
         self.waiting = False
         self.is_reading_paused = False
 
-    def receive(self, data: bytes) -> None:
+    def receive(self, data: bytes | memoryview) -> None:
         """Parse bytes that have just been received, and handle the frames."""
         if not self.parser.buffered_bytes():
             self.frame_started_ns = self.connection.last_used_ns
@@ -114,11 +118,8 @@
         else:
             self.read_turn()
         self.account_partial_frames()
-        if (
-            self.host.partial_frame_bytes > self.host.dispatcher.statement_capacity_bytes
-            and not self.connection.broken
-        ):
-            self.connection.end_with_error(FRAME_MEMORY_EXHAUSTED)
+        if self.partial_frame_bytes:
+            self.host.partial_frames.restrict(self)
 
     def account_partial_frames(self) -> None:
         """Account for the bytes in the parser; end the connection if its limits are exceeded.
@@ -128,17 +129,76 @@
         """
         self.parser.release_returned()
         buffered_bytes = self.parser.buffered_bytes()
-        self.host.partial_frame_bytes += buffered_bytes - self.partial_frame_bytes
-        self.partial_frame_bytes = buffered_bytes
+        if buffered_bytes != self.partial_frame_bytes:
+            self._note_progress(buffered_bytes)
+            self.host.partial_frames.account(self, buffered_bytes)
         if self.limits is None:
             return
         if not self.limits.may_buffer(buffered_bytes) and not self.connection.broken:
             self.connection.end_with_error(FRAME_MEMORY_EXHAUSTED)
 
+    def _note_progress(self, buffered_bytes: int) -> None:
+        growth_bytes = buffered_bytes - self._progress_mark_bytes
+        if growth_bytes < 0 or growth_bytes >= MIN_PROGRESS_BYTES:
+            self._progress_mark_bytes = buffered_bytes
+            self.last_progress_ns = self.connection.last_used_ns
+
     def clear(self) -> None:
         """Drop the bytes in the parser."""
         self.parser.clear()
         self.account_partial_frames()
+        if self.waits_for_memory:  # further input is discarded
+            self.wait_for_memory(False)
+
+    # Called by the memory of incomplete frames.
+
+    def is_inside_frame(self) -> bool:
+        """Return whether all that is buffered is the beginning of one incomplete frame.
+
+        Complete frames that wait for their turn, or for the client to read answers, are requests
+        that this broker has taken.
+        """
+        if self.waiting or self.connection.paused_since_ns or self.connection.broken:
+            return False
+        return self.partial_frame_bytes > 0
+
+    def missing_bytes(self) -> int:
+        """Return how many bytes the incomplete frame still needs."""
+        return self.parser.missing_bytes()
+
+    def has_unread_input(self) -> bool:
+        """Return whether more bytes of the client lie in the system's buffer."""
+        return self.socket.has_input()
+
+    def has_open_requests(self) -> bool:
+        """Return whether a request of the connection has no answer yet."""
+        return bool(self.requests.by_stream)
+
+    def end_if_peer_closed(self) -> bool:
+        """End the connection if the client has closed it; return whether it has.
+
+        A client may close the connection long before all its frames have been read. None of its
+        requests may be submitted after that.
+        """
+        policy = self.host.dispatcher.deadline_controls.settings.half_close
+        if policy is HalfClosePolicy.AWAIT_ANSWERS:
+            return False
+        if not self.socket.has_ended():
+            return False
+        self.connection.drop()
+        self.requests.cancel_all()
+        self.connection.broken = True
+        return True
+
+    def wait_for_memory(self, waits: bool) -> None:
+        """Pause reading until there is memory for the current frame, or go on."""
+        self.waits_for_memory = waits
+        self.last_progress_ns = self.host.dispatcher.now()
+        self.pause_or_resume_reading()
+
+    def end_for_memory(self) -> None:
+        """End the connection, so that the memory of its incomplete frame is free."""
+        self.connection.end_with_error(FRAME_MEMORY_EXHAUSTED)
 
     def has_work(self) -> bool:
         """Return whether a request is unanswered, or bytes wait in the parser."""
@@ -202,7 +262,7 @@
                 return False
             if frame.type == frames.REQUEST and not has_checked_peer:
                 has_checked_peer = True
-                if self._end_if_peer_closed():
+                if self.end_if_peer_closed():
                     return False
             self.received_ns = self.frame_started_ns
             self.connection.has_sent_frame = True
@@ -221,22 +281,6 @@
             frames.read_fields(frame.payload)
             self.socket.write(frames.ready(frame.stream, self.host.ready()))
 
-    def _end_if_peer_closed(self) -> bool:
-        """End the connection if the client has closed it; return whether it has.
-
-        A client may close the connection long before all its frames have been read. None of its
-        requests may be submitted after that.
-        """
-        policy = self.host.dispatcher.deadline_controls.settings.half_close
-        if policy is HalfClosePolicy.AWAIT_ANSWERS:
-            return False
-        if not self.socket.has_ended():
-            return False
-        self.connection.drop()
-        self.requests.cancel_all()
-        self.connection.broken = True
-        return True
-
     def _end_after_fault(self, error: Exception) -> None:
         self.host.dispatcher.log("client", f"{type(error).__name__}: {error}")
         self.connection.end_with_error("internal error")
@@ -250,14 +294,15 @@
         self.pause_or_resume_reading()
 
     def pause_or_resume_reading(self) -> None:
-        """Pause reading if the read-ahead limit is exceeded, else resume it.
+        """Pause reading if the read-ahead limit or the memory is exceeded, else resume it.
 
         While reading is paused, cancellations are not seen, so no further attempt begins for the
         open requests.
         """
         if not self.socket.is_open():
             return
-        unreadable = not self.connection.broken and self._exceeds_read_ahead()
+        must_pause = self.waits_for_memory or self._exceeds_read_ahead()
+        unreadable = must_pause and not self.connection.broken
         self.socket.set_reading(not unreadable)
         if self.is_reading_paused != unreadable:
             self.is_reading_paused = unreadable
@@ -269,6 +314,6 @@
         if self.parser.buffered_bytes() > MAX_READ_AHEAD_BYTES:
             return True
         return (
-            self.host.partial_frame_bytes
+            self.host.partial_frames.total_bytes
             > self.host.dispatcher.statement_capacity_bytes // READ_AHEAD_DIVISOR
         )
--- a/query_broker/server/host.py
+++ b/query_broker/server/host.py
@@ -13,6 +13,7 @@
 from ..dispatch.dispatcher import Dispatcher
 from ..log import LogWriter
 from ..protocols.client_connection import ClientConnection
+from ..protocols.partial_frames import PartialFrameMemory
 from ..timer_wheel import Clock
 from .process_status import ProcessStatus
 
@@ -66,6 +67,10 @@
     def clients(self) -> Collection[ClientConnection]:
         """The client connections that have been admitted."""
 
+    @property
+    def partial_frames(self) -> PartialFrameMemory:
+        """The memory of client frames that are not complete yet."""
+
     @property
     def partial_frame_bytes(self) -> int:
         """Bytes of client frames that are not complete yet."""
--- a/query_broker/server/node.py
+++ b/query_broker/server/node.py
@@ -24,6 +24,7 @@
 from ..dispatch.dispatcher import Dispatcher
 from ..log import Log
 from ..protocols.client_connection import ClientConnection
+from ..protocols.partial_frames import PartialFrameMemory
 from ..timer_wheel import Clock
 from .admin_api import AdminApi
 from .client_admission import ClientAdmission
@@ -45,8 +46,7 @@
         config: The configuration in force.
         dispatcher: Carries requests from the clients to the endpoints.
         admission: The client connections.
-        partial_frame_bytes: Bytes of client frames that are not complete yet, counted by the
-            connections.
+        partial_frames: The memory of client frames that are not complete yet.
         server: The clients' server, once it listens.
         admin_api: The calls for operators.
         peer_processes: The other processes of this broker; None unless the clients' socket is
@@ -73,7 +73,7 @@
         self.clock = Clock()
         self.dispatcher = self.make_dispatcher()
         self.admission = self.make_admission()
-        self.partial_frame_bytes = 0
+        self.partial_frames = PartialFrameMemory(self.dispatcher)
         self.server: asyncio.Server | None = None
         self.admin_api = AdminApi(self)
         self.peer_processes: PeerProcesses | None = None
@@ -147,6 +147,11 @@
         """The client connections that have been admitted."""
         return self.admission.connections
 
+    @property
+    def partial_frame_bytes(self) -> int:
+        """Bytes of client frames that are not complete yet."""
+        return self.partial_frames.total_bytes
+
     def ready(self) -> bool:
         """Return whether clients should send their requests here."""
         return self.endpoint_list_known and not self.closing_announced
--- a/tests/protocols/scripted_engines.py
+++ b/tests/protocols/scripted_engines.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from query_broker.endpoints.connection_pool import ConnectionPool
+from query_broker.overriding import override
 from query_broker.protocols import resp
 
 from ..support.sockets import Engine, RunningBroker, make_config, running, target_entry
@@ -28,6 +29,40 @@
     return Engine(script)
 
 
+class EngineForLargeStatements(Engine):
+    """An engine that reads statements of any size; the emulator's reads what a result may hold."""
+
+    @override
+    async def _serve_client(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.writers.append(writer)
+        try:
+            while True:
+                parts = await _read_command(reader)
+                self.commands.append(parts)
+                self.command_writers.append(writer)
+                self.script(self, parts, writer)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+
+
+async def _read_command(reader: asyncio.StreamReader) -> list[bytes]:
+    parts = []
+    for _ in range(await _read_length(reader)):
+        size_bytes = await _read_length(reader)
+        part = await reader.readexactly(size_bytes + len(b"\r\n"))
+        parts.append(part[:size_bytes])
+    return parts
+
+
+async def _read_length(reader: asyncio.StreamReader) -> int:
+    line = await reader.readline()
+    if not line:
+        raise asyncio.IncompleteReadError(b"", None)
+    return int(line[1:])
+
+
 def engine_that_writes_and_closes(data: bytes) -> Engine:
     """Return an engine that answers every command with these bytes and closes the connection."""
 
