End the connection of an undelivered attempt also where others share it

Cause: what an engine's system has not acknowledged is sent on when the link is up again, and only a reset of the connection discards it. The broker did not reset a connection on which another attempt was wanted, which is usual where handshakes are priced.

Whether an attempt is acknowledged is asked for its own last byte, by its place among the bytes sent, so that later bytes which are on their way at any time don't end a sound connection. The same check follows the end of an attempt whose own time is up: it began beside the one that replaced it.

--- a/query_broker/dispatch/assembly.py
+++ b/query_broker/dispatch/assembly.py
@@ -41,15 +41,13 @@
         """Create the parts; ``id_sequence`` also numbers the requests."""
         self.stage_timer = StageTimer(clock, timer_wheel, controls)
         self.outcomes = AttemptOutcomes(context, clock, timer_wheel, extensions, controls)
-        self.attempts = AttemptDispatcher(context, timer_wheel, table, controls, self.outcomes)
+        undelivered = UndeliveredAttempts(clock, timer_wheel)
+        self.attempts = AttemptDispatcher(
+            context, timer_wheel, table, controls, self.outcomes, undelivered
+        )
         self.gate = HandOverGate(clock, endpoints, administrative_states, controls, self.outcomes)
         self.cancellations = RequestCancellation(
-            context,
-            table,
-            extensions,
-            controls,
-            self.outcomes,
-            UndeliveredAttempts(clock, timer_wheel),
+            context, table, extensions, controls, self.outcomes, undelivered
         )
         self.client_answers = ClientAnswers(context, table, extensions, self.cancellations)
         self.health_checks = HealthChecks(context, clock, timer_wheel, extensions, id_sequence)
--- a/query_broker/dispatch/attempt_dispatch.py
+++ b/query_broker/dispatch/attempt_dispatch.py
@@ -14,6 +14,7 @@
 from .deadline_controls import DeadlineControls
 from .request_table import RequestTable
 from .requests import Attempt
+from .undelivered_attempts import UndeliveredAttempts
 
 # An attempt of which no byte has been sent is withdrawn this many ticks before its deadline. The
 # decisions give the final answer one tick before the deadline, and the report takes another tick.
@@ -30,6 +31,7 @@
         table: RequestTable,
         controls: DeadlineControls,
         outcomes: AttemptOutcomes,
+        undelivered: UndeliveredAttempts,
     ) -> None:
         """Store the other parts that dispatching uses."""
         self._context = context
@@ -37,6 +39,7 @@
         self._table = table
         self._controls = controls
         self._outcomes = outcomes
+        self._undelivered = undelivered
 
     def apply_options(self, options: DispatchOptions) -> None:
         """Set the priority and memory of a request; attempts in flight get the new priority."""
@@ -132,7 +135,7 @@
         """End an attempt whose deadline has passed.
 
         It is withdrawn if it is only partly written, else cancelled if endpoints support
-        cancellation.
+        cancellation. If it is still on its way, its connection ends.
         """
         if attempt.stopped_by_broker:
             return  # its report is already deferred
@@ -140,6 +143,7 @@
         if connection is None or attempt.reported or self._outcomes.withdraw(attempt, connection):
             self._outcomes.end(attempt, AttemptResult.TIMEOUT)
             return
+        self._undelivered.check_later(attempt, connection)
         if not self._context.config.settings.limits.cancellation:
             self._outcomes.end(attempt, AttemptResult.TIMEOUT)
             return
--- a/query_broker/dispatch/requests.py
+++ b/query_broker/dispatch/requests.py
@@ -53,13 +53,13 @@
     def cancel(self, attempt: Attempt) -> None:
         """Tell the endpoint to stop the attempt."""
 
-    def has_undelivered_bytes(self) -> bool:
-        """Return whether bytes that have been sent have not arrived at the endpoint's system."""
+    def is_undelivered(self, attempt: Attempt) -> bool:
+        """Return whether an attempt that was sent has not arrived at the endpoint's system."""
 
     def end_if_undelivered(self, attempt: Attempt) -> None:
         """End the connection if this attempt, which nobody waits for, has not arrived completely.
 
-        Does nothing if another attempt on the connection is wanted.
+        The other attempts on the connection end with it.
         """
 
     def forget(self, attempt: Attempt) -> None:
@@ -145,6 +145,7 @@
         write_started: A byte has been sent to the endpoint.
         assigned_ns: When the attempt was assigned to its connection.
         written_ns: When the last byte was sent; from then on the attempt may run.
+        sent_bytes: Number of bytes that had been sent on the connection then.
         reported: The end of the attempt has been reported to the decisions.
         pages: Pages of the result, None while they are missing.
         missing_pages: How many pages are missing.
@@ -167,6 +168,7 @@
     write_started: bool = False
     assigned_ns: int = 0
     written_ns: int = 0
+    sent_bytes: int = 0
     reported: bool = False
     pages: list[bytes | None] = field(default_factory=list)
     missing_pages: int = 0
--- a/query_broker/dispatch/undelivered_attempts.py
+++ b/query_broker/dispatch/undelivered_attempts.py
@@ -18,7 +18,7 @@
 
 
 class UndeliveredAttempts:
-    """Ends the connections whose unsent bytes belong to attempts that nobody waits for."""
+    """Ends connections on which an attempt that nobody waits for has not been delivered."""
 
     def __init__(self, clock: Clock, timer_wheel: TimerWheel) -> None:
         """Store the clock and the timers that the checks use."""
@@ -27,7 +27,7 @@
 
     def check_later(self, attempt: Attempt, connection: AttemptConnection) -> None:
         """Keep an attempt that has been sent from beginning if it is not delivered in time."""
-        if attempt.pages or not connection.has_undelivered_bytes():
+        if attempt.pages or not connection.is_undelivered(attempt):
             return
         self._timer_wheel.set_timer(
             self._clock.now() + DELIVERY_TIME_NS,
--- a/query_broker/protocols/engine_connection.py
+++ b/query_broker/protocols/engine_connection.py
@@ -190,24 +190,23 @@
         self.in_flight.pop(request_id, None)
         self.cancellations.begin(request_id, now_ns)
 
-    def has_undelivered_bytes(self) -> bool:
-        """Return whether the engine's system has not acknowledged all that has been sent."""
-        return self.writer.has_undelivered_bytes()
+    def is_undelivered(self, attempt: Attempt) -> bool:
+        """Return whether the engine's system has not acknowledged an attempt that was sent."""
+        return self.writer.is_undelivered(attempt)
 
     def end_if_undelivered(self, attempt: Attempt) -> None:
         """End the connection if an attempt that nobody waits for has not been delivered yet.
 
-        The system would go on sending its bytes, and the engine would begin it late. Does nothing
-        if another attempt on the connection is wanted: its answer would be lost.
+        The system would go on sending its bytes, and the engine would begin it late. Other attempts
+        on the connection end with it: nothing takes the bytes of one of them back.
         """
         request_id = attempt.request.client_request_id
         is_in_flight = self.in_flight.get(request_id) is attempt
         is_unanswered = is_in_flight or request_id in self.cancelled_ids
-        is_shared = any(other.is_wanted() for other in self.in_flight.values())
-        if self.closed or not is_unanswered or is_shared or not self.has_undelivered_bytes():
+        if self.closed or not is_unanswered or not self.is_undelivered(attempt):
             return
         self.writer.discard_unsent()
-        self._end("the engine takes no bytes, and nobody waits for its answers", True)
+        self._end("the engine takes no bytes, and nobody waits for one of its answers", True)
 
     def forget(self, attempt: Attempt) -> None:
         """Tell the engine that no more pages of an attempt are needed."""
--- a/query_broker/protocols/engine_writer.py
+++ b/query_broker/protocols/engine_writer.py
@@ -78,6 +78,7 @@
         is_blocked: Whether frames wait because the socket accepted no more bytes.
         is_stopped: Whether nothing more is written, since the rest of a frame was withdrawn.
         last_used_ns: When something was last sent or queued.
+        sent_bytes: Number of bytes that the system has taken since the connection was established.
         cancels_in_transit: Request ids of cancelled attempts whose cancellation has not left yet,
             so that the engine cannot have read it.
     """
@@ -105,6 +106,7 @@
         self.is_blocked = False
         self.is_stopped = False
         self.last_used_ns = observer.now()
+        self.sent_bytes = 0
         self.cancels_in_transit: set[bytes] = set()
 
     def attach(self, transport: asyncio.Transport, now_ns: int) -> None:
@@ -125,9 +127,14 @@
         """Return whether bytes from the engine lie unread in the system's buffer."""
         return self.fd >= 0 and has_input(self.fd)
 
-    def has_undelivered_bytes(self) -> bool:
-        """Return whether the engine's system has not acknowledged all that has been written."""
-        return self.fd >= 0 and unacknowledged_bytes(self.fd) > 0
+    def is_undelivered(self, attempt: Attempt) -> bool:
+        """Return whether the engine's system has not acknowledged an attempt that was sent.
+
+        Later bytes of other attempts do not count: some are on their way at any time.
+        """
+        if self.fd < 0 or not attempt.written_ns:
+            return False
+        return self.sent_bytes - unacknowledged_bytes(self.fd) < attempt.sent_bytes
 
     def discard_unsent(self) -> None:
         """Let `close` discard what lies in the system's buffer, instead of sending it first."""
@@ -166,10 +173,12 @@
             except OSError:
                 written_bytes = 0  # the flush below retries the write, or reports the error
             if written_bytes:
+                self.sent_bytes += written_bytes
                 self.frame_started(attempt)
             if written_bytes == len(pieces[0]):
                 self.last_used_ns = now_ns
                 attempt.written_ns = now_ns
+                attempt.sent_bytes = self.sent_bytes
                 self.observer.attempt_written_immediately()
                 return
             pieces = (pieces[0][written_bytes:],)
@@ -229,6 +238,7 @@
             except OSError as error:
                 self.on_write_failure(str(error))
                 return
+            self.sent_bytes += written_bytes
             if not self.write_queue.record_written(written_bytes):
                 self.is_blocked = True
                 self.on_blocked()
@@ -262,6 +272,7 @@
     def frame_written(self, subject: object) -> None:
         """Report an attempt that has left completely, or forget a cancellation that has."""
         if isinstance(subject, Attempt):
+            subject.sent_bytes = self.sent_bytes
             self.observer.attempt_written(subject)
         elif isinstance(subject, bytes):
             self.cancels_in_transit.discard(subject)
