Look for the data set at the beginning of a statement only

Cause: the data set was looked for in the whole statement, on the only event loop, with a step in Python for each name, string and comment.

Change: the first 16 KiB are searched, and only if they hold a number behind an underscore. The expression itself tells a schema with a number from other names.

A statement that names its data set after 16 KiB has none for the decisions.

--- a/query_broker/protocols/statement.py
+++ b/query_broker/protocols/statement.py
@@ -9,16 +9,19 @@
 # What is cut off before its closing quote ends with the statement. If it failed to match instead,
 # each quote in it would be tried as the start of another token, and the time could grow with the
 # square of the length. The possessive quantifiers (`++`, `*+`) keep no positions to return to.
+# Only a schema with a data set fills a group: the staging schema of loads has none.
 _TOKEN = re.compile(
     rb"""'(?:[^'\\]++|''|\\.)*+(?:'|\\?\Z) | --[^\n]*+ | /\*.*?(?:\*/|\Z)
-       | "(?P<quoted>(?:[^"]++|"")*+)(?:"(?P<dot>\s*\.)?|\Z)
-       | `(?P<ticked>[^`]*+)(?:`(?P<tick_dot>\s*\.)?|\Z)
-       | (?<![\w.$]) (?P<bare>[A-Za-z_]\w*) \s* \. \s* (?=[A-Za-z_"`])""",
+       | "[A-Za-z]\w*_(\d{1,9})"\s*\. | "(?:[^"]++|"")*+(?:"|\Z)
+       | `[A-Za-z]\w*_(\d{1,9})`\s*\. | `[^`]*+(?:`|\Z)
+       | (?<![\w.$]) (?:[A-Za-z]\w*_(\d{1,9}) | [A-Za-z_]\w*+) \s*+ \. \s*+ (?=[A-Za-z_"`])""",
     re.X | re.S,
 )
-_SCHEMA_WITH_DATA_SET = re.compile(rb"[A-Za-z]\w*_(\d{1,9})\Z")
-# Name of the staging schema of loads: the data set is taken from another schema in the statement.
-_STAGING_SCHEMA = b"staging"
+# The end of the name of a schema with a data set; a statement without one is not searched further.
+_DATA_SET_SUFFIX = re.compile(rb"_\d")
+# Searching a statement to its end would take tens of milliseconds for the largest ones, during
+# which all other clients wait.
+MAX_SEARCHED_BYTES = 16_384
 # Returned for a statement that names no data set.
 NO_DATA_SET = -1
 
@@ -26,24 +29,12 @@
 def data_set_of(statement: bytes) -> int:
     """Return the number of the statement's data set, or `NO_DATA_SET`.
 
-    The number follows the underscore in the name of the first schema that has one.
+    The number follows the underscore in the name of the first schema that has one, within the first
+    `MAX_SEARCHED_BYTES` bytes.
     """
-    for token in _TOKEN.finditer(statement):
-        schema = _schema_of(token)
-        if not schema or schema.lower() == _STAGING_SCHEMA:
-            continue
-        schema_match = _SCHEMA_WITH_DATA_SET.match(schema)
-        if schema_match is not None:
-            return int(schema_match[1])
+    if _DATA_SET_SUFFIX.search(statement, 0, MAX_SEARCHED_BYTES) is None:
+        return NO_DATA_SET
+    for token in _TOKEN.finditer(statement, 0, MAX_SEARCHED_BYTES):
+        if token.lastindex is not None:
+            return int(token[token.lastindex])
     return NO_DATA_SET
-
-
-def _schema_of(token: re.Match[bytes]) -> bytes | None:
-    """Return the schema name that a token contains, or None."""
-    if token["bare"]:
-        return token["bare"]
-    if token["dot"] and token["quoted"]:
-        return token["quoted"]
-    if token["tick_dot"]:
-        return token["ticked"]
-    return None
