Give large client frames turns of their own between the others

Cause: an iteration of the event loop handled a frame of every connection, up to 32 of each, whatever they cost, so that small requests waited for all of them. The deadline of a request counted from when it was handled.

Change: a complete frame of 4 kB or more waits in a queue. ReceiveTimes holds both times.

--- a/query_broker/cells/dispatcher.py
+++ b/query_broker/cells/dispatcher.py
@@ -7,7 +7,7 @@
 from ..config import Config
 from ..decisions.facade import CloseRequests, Facade
 from ..dispatch.dispatcher import Dispatcher
-from ..dispatch.requests import ActiveRequest, Client
+from ..dispatch.requests import NO_RECEIVE_TIMES, ActiveRequest, Client, ReceiveTimes
 from ..dispatch.validation import ParsedRequest
 from ..endpoints.connection_pools import ConnectionPools
 from ..log import LogWriter
@@ -152,13 +152,17 @@
 
     @override
     def admit(
-        self, client: Client, stream: int, parsed: ParsedRequest, received_ns: int = 0
+        self,
+        client: Client,
+        stream: int,
+        parsed: ParsedRequest,
+        times: ReceiveTimes = NO_RECEIVE_TIMES,
     ) -> ActiveRequest:
         """Assign a valid request to its cell and open it."""
         assignment = self._assign(parsed)
         self.router.assignment = assignment
         self.rates.add(assignment.subject, int(parsed.estimate_ms * NS_PER_MS))
-        return super().admit(client, stream, parsed, received_ns)
+        return super().admit(client, stream, parsed, times)
 
     def _assign(self, parsed: ParsedRequest) -> Assignment:
         """Return the cell of a request: that of an open request with the same id, if any.
--- a/query_broker/dispatch/deadline_controls.py
+++ b/query_broker/dispatch/deadline_controls.py
@@ -7,6 +7,7 @@
 from ..deadlines.handover_checks import HandOverStatistics
 from ..deadlines.retry_budget import RetryBudget
 from ..deadlines.settings import DeadlineSettings, TimeoutStart
+from .requests import ReceiveTimes
 
 if TYPE_CHECKING:
     from ..deadlines.stage_latencies import StageLatencies
@@ -37,7 +38,7 @@
         self.statistics = HandOverStatistics()
 
     def timeout_ns(
-        self, client_timeout_ms: float, class_deadline_ns: int, received_ns: int, now_ns: int
+        self, client_timeout_ms: float, class_deadline_ns: int, times: ReceiveTimes, now_ns: int
     ) -> int:
         """Return how long the broker may take for a request that is admitted now, in nanoseconds.
 
@@ -45,15 +46,18 @@
             client_timeout_ms: The client's timeout. The request occupies resources until then, so
                 the deadline of its class is an upper bound.
             class_deadline_ns: The deadline of the request's class.
-            received_ns: When the first byte of the request was read, 0 if that is not known. The
-                time since then only counts if operators let timeouts start at the first byte.
+            times: When the request was read. The time since its last byte counts, or that since
+                its first byte if operators let timeouts start there.
             now_ns: The current time.
         """
         timeout_ns = min(int(client_timeout_ms * NS_PER_MS), class_deadline_ns)
         timeout_ns -= min(self.margin_ns, timeout_ns // 4)
-        if received_ns and self.settings.timeout_start is TimeoutStart.FIRST_BYTE:
-            return max(1, timeout_ns - (now_ns - received_ns))
-        return timeout_ns
+        start_ns = times.last_byte_ns
+        if self.settings.timeout_start is TimeoutStart.FIRST_BYTE:
+            start_ns = times.first_byte_ns
+        if not start_ns:
+            return timeout_ns
+        return max(1, timeout_ns - (now_ns - start_ns))
 
     def metrics_text(self) -> bytes:
         """Return lines of the Prometheus text format; empty if stages are not recorded."""
--- a/query_broker/dispatch/dispatcher.py
+++ b/query_broker/dispatch/dispatcher.py
@@ -35,7 +35,7 @@
 from .deadline_controls import NS_PER_MS, DeadlineControls
 from .observers import DispatchExtensions, DispatchObserver, RequestEnding
 from .request_table import RequestTable
-from .requests import ActiveRequest, Client
+from .requests import NO_RECEIVE_TIMES, ActiveRequest, Client, ReceiveTimes
 from .validation import InvalidRequestError, ParsedRequest, RequestValidator
 
 # The `retry_after` of a request rejected for lack of statement memory: gives open requests time to
@@ -148,13 +148,17 @@
         self.statement_capacity_bytes = capacity.statement_bytes
 
     def admit(
-        self, client: Client, stream: int, parsed: ParsedRequest, received_ns: int = 0
+        self,
+        client: Client,
+        stream: int,
+        parsed: ParsedRequest,
+        times: ReceiveTimes = NO_RECEIVE_TIMES,
     ) -> ActiveRequest:
         """Add a valid request to the table and report it to the decisions; see `submit`."""
         now_ns = self.now()
         class_deadline_ns = self.validator.class_deadlines_ns[parsed.class_name]
         timeout_ns = self.deadline_controls.timeout_ns(
-            parsed.timeout_ms, class_deadline_ns, received_ns, now_ns
+            parsed.timeout_ms, class_deadline_ns, times, now_ns
         )
         for observer in self.extensions.observers:
             observer.request_arrived(parsed, now_ns)
@@ -167,7 +171,7 @@
             stream=stream,
             deadline_ns=now_ns + timeout_ns,
             tenant=parsed.tenant or "",
-            received_ns=received_ns or now_ns,
+            received_ns=times.first_byte_ns or now_ns,
             accepted_ns=now_ns,
             idempotency_key=parsed.idempotency_key,
         )
@@ -225,7 +229,11 @@
             self.facade.forget(request.id)
 
     def submit(
-        self, client: Client, stream: int, parsed: ParsedRequest, received_ns: int = 0
+        self,
+        client: Client,
+        stream: int,
+        parsed: ParsedRequest,
+        times: ReceiveTimes = NO_RECEIVE_TIMES,
     ) -> ActiveRequest:
         """Validate and admit a request that a client protocol has parsed.
 
@@ -233,7 +241,7 @@
             client: The client that gets the answer.
             stream: The client's number for the request on its connection.
             parsed: The request, not yet validated.
-            received_ns: When its first byte was read; 0 if that is not known.
+            times: When it was read.
 
         Raises:
             InvalidRequestError: The request is invalid; the caller answers that it failed.
@@ -243,7 +251,7 @@
         except InvalidRequestError:
             self.metrics_counts.count_reply(parsed.class_name, ERROR)
             raise
-        return self.admit(client, stream, parsed, received_ns)
+        return self.admit(client, stream, parsed, times)
 
     def apply_settings(self, config: Config) -> None:
         """Apply the settings of another configuration to all requests from now on."""
--- a/query_broker/dispatch/requests.py
+++ b/query_broker/dispatch/requests.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from ..deadlines.cancel_scopes import CancelScope, ScopeKind
 from ..decisions.facade import ProgressKind
@@ -66,6 +66,21 @@
         """Tell the endpoint that no more pages of the result are wanted."""
 
 
+class ReceiveTimes(NamedTuple):
+    """When a request was received, in Unix nanoseconds; 0 if that is not known.
+
+    Attributes:
+        first_byte_ns: When its first byte was read.
+        last_byte_ns: When its last byte was read. It may have waited for its turn since then.
+    """
+
+    first_byte_ns: int = 0
+    last_byte_ns: int = 0
+
+
+NO_RECEIVE_TIMES = ReceiveTimes()
+
+
 @dataclass(slots=True)
 class ActiveRequest:
     """A request that has been admitted.
--- a/query_broker/protocols/client_frames.py
+++ b/query_broker/protocols/client_frames.py
@@ -200,6 +200,15 @@
         length = int.from_bytes(self.buffer[begin : begin + LENGTH_FIELD_BYTES], "big")
         return available > LENGTH_FIELD_BYTES + length
 
+    def next_frame_bytes(self) -> int:
+        """Return the size of the next frame; 0 if it is incomplete or malformed."""
+        available = self.buffered_bytes()
+        begin = self.read_position
+        length = int.from_bytes(self.buffer[begin : begin + LENGTH_FIELD_BYTES], "big")
+        size_bytes = LENGTH_FIELD_BYTES + length
+        is_valid = MIN_FRAME_LENGTH <= length <= MAX_FRAME_LENGTH
+        return size_bytes if is_valid and available >= size_bytes else 0
+
     def missing_bytes(self) -> int:
         """Return how many bytes the next frame still needs; 0 if it is complete or malformed.
 
--- a/query_broker/protocols/client_reader.py
+++ b/query_broker/protocols/client_reader.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import Protocol
 
 from ..deadlines.settings import HalfClosePolicy
+from ..dispatch.requests import ReceiveTimes
 from . import client_frames as frames
 from .client_lookahead import CancellationLookahead
 from .client_requests import DispatcherHost, OpenRequests
 from .client_socket import ClientSocket
 from .partial_frames import FRAME_MEMORY_EXHAUSTED, MIN_PROGRESS_BYTES, PartialFrameMemory
+from .read_queue import ReadQueue
 
 # Frames of one connection that are handled in one turn, before the turns of other connections.
 FRAMES_PER_TURN = 32
+# Event-loop time after which a turn ends.
+MAX_TURN_NS = 3_000_000
+# A frame from this size on always waits for its turn, since handling it takes long.
+LARGE_FRAME_BYTES = 4_096
 # Limit of the bytes that are read ahead, to find cancellations, while earlier frames wait.
 MAX_READ_AHEAD_BYTES = 64 * 1024
 # No connection reads ahead while incomplete frames use more than this share of their memory, which
@@ -28,6 +33,10 @@
     def partial_frames(self) -> PartialFrameMemory:
         """The memory of the incomplete frames on all connections."""
 
+    @property
+    def read_queue(self) -> ReadQueue:
+        """The connections that wait for their turn."""
+
     def ready(self) -> bool:
         """Return whether requests are served; clients' health checks report it."""
 
@@ -69,6 +78,7 @@
             cancellation is seen.
         frame_started_ns: When the first byte of the currently incomplete frame was received.
         received_ns: When the first byte of the frame that was handled last was received.
+        last_received_ns: When bytes were last received.
         partial_frame_bytes: Received bytes of frames that have not been handled yet; part of the
             host's sum.
         last_progress_ns: When the current frame last grew by `MIN_PROGRESS_BYTES`.
@@ -101,6 +111,7 @@
         self.lookahead = CancellationLookahead(self.parser, requests)
         self.frame_started_ns = connection.last_used_ns
         self.received_ns = connection.last_used_ns
+        self.last_received_ns = connection.last_used_ns
         self.partial_frame_bytes = 0
         self.last_progress_ns = connection.last_used_ns
         self.waits_for_memory = False
@@ -110,8 +121,9 @@
 
     def receive(self, data: bytes | memoryview) -> None:
         """Parse bytes that have just been received, and handle the frames."""
+        self.last_received_ns = self.connection.last_used_ns
         if not self.parser.buffered_bytes():
-            self.frame_started_ns = self.connection.last_used_ns
+            self.frame_started_ns = self.last_received_ns
         self.parser.feed(data)
         if self.waiting:
             self.look_ahead()
@@ -204,16 +216,19 @@
         """Return whether a request is unanswered, or bytes wait in the parser."""
         return bool(self.requests.by_stream) or self.parser.buffered_bytes() > 0
 
-    def read_turn(self) -> None:
+    def read_turn(self, may_handle_large: bool = False) -> None:
         """Handle the frames of one turn.
 
         One chunk of bytes can hold 25,000 frames; without turns, all other connections would wait
         until the last of these frames is answered.
+
+        Args:
+            may_handle_large: Whether this is a turn that the connection has waited for.
         """
         if self.limits is None:
-            self._run_turn()
+            self._run_turn(may_handle_large)
         elif self.limits.begin_turn():
-            self._run_turn()
+            self._run_turn(may_handle_large)
             self.limits.end_turn()
         else:
             self.waiting = True
@@ -221,7 +236,7 @@
 
     def resume(self) -> None:
         """Run the next turn."""
-        self.read_turn()
+        self.read_turn(may_handle_large=True)
         self.pause_or_resume_reading()
         self.account_partial_frames()
 
@@ -232,10 +247,10 @@
         self.pause_or_resume_reading()
         self.account_partial_frames()
 
-    def _run_turn(self) -> None:
+    def _run_turn(self, may_handle_large: bool) -> None:
         self.waiting = False
         try:
-            has_more_frames = self._handle_frames()
+            has_more_frames = self._handle_frames(may_handle_large)
         except frames.MalformedFrameError as error:
             self.connection.end_with_error(str(error))
         except Exception as error:  # no input may raise out of a callback
@@ -244,18 +259,25 @@
             if has_more_frames:
                 self.waiting = True
                 self.look_ahead()
-                asyncio.get_running_loop().call_soon(self.resume)
+                self.host.read_queue.add(self)
 
-    def _handle_frames(self) -> bool:
+    def _handle_frames(self, may_handle_large: bool) -> bool:
         """Handle the frames of one turn; return whether more may wait after it."""
         # After a stall of this process, a request and its cancellation can arrive in one chunk.
         if self.parser.holds_more_than_one_frame():
             self.lookahead.scan()
         has_checked_peer = False
-        for _ in range(FRAMES_PER_TURN):
+        end_ns = self.last_received_ns + MAX_TURN_NS
+        if may_handle_large:
+            end_ns = self.host.dispatcher.now() + MAX_TURN_NS
+        for handled_count in range(FRAMES_PER_TURN):
             if self.connection.paused_since_ns:
                 self.look_ahead()
                 return False
+            if not may_handle_large and self._has_large_frame():
+                return True
+            if handled_count and self._is_turn_over(end_ns):
+                return True
             frame = None if self.connection.broken else self.parser.next()
             if frame is None:
                 self.lookahead.clear()
@@ -270,11 +292,22 @@
             self._handle_frame(frame)
         return True
 
+    def _is_turn_over(self, end_ns: int) -> bool:
+        """Return whether the time of the turn is up while more frames are complete."""
+        return self.host.dispatcher.now() >= end_ns and self.parser.next_frame_bytes() > 0
+
+    def _has_large_frame(self) -> bool:
+        """Return whether the next frame is complete and large."""
+        if self.connection.broken or self.parser.buffered_bytes() < LARGE_FRAME_BYTES:
+            return False
+        return self.parser.next_frame_bytes() >= LARGE_FRAME_BYTES
+
     def _handle_frame(self, frame: frames.Frame) -> None:
         if frame.type == frames.REQUEST:
             self.requests.check_stream(frame.stream)
             if frame.stream not in self.lookahead.cancelled_streams:
-                self.requests.submit(frame.stream, frame.payload, self.received_ns)
+                times = ReceiveTimes(self.received_ns, self.last_received_ns)
+                self.requests.submit(frame.stream, frame.payload, times)
         elif frame.type == frames.ABANDON:
             self.requests.cancel(frame.stream)
         else:
--- a/query_broker/protocols/client_requests.py
+++ b/query_broker/protocols/client_requests.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from ..dispatch.dispatcher import Dispatcher
-from ..dispatch.requests import ActiveRequest, Client
+from ..dispatch.requests import ActiveRequest, Client, ReceiveTimes
 from ..dispatch.validation import InvalidRequestError
 from .client_frames import MalformedFrameError
 from .client_request import FIELD_CLIENT_REQUEST_ID, parse_request
@@ -50,8 +50,8 @@
             raise MalformedFrameError(reason)
         self.last_stream = stream
 
-    def submit(self, stream: int, payload: bytes, received_ns: int) -> None:
-        """Submit a request whose first byte was received at ``received_ns``.
+    def submit(self, stream: int, payload: bytes, times: ReceiveTimes) -> None:
+        """Submit a request that was received at these times.
 
         An invalid request is answered as failed.
 
@@ -62,7 +62,7 @@
             parsed = parse_request(payload)
             self._check_new_request(parsed.client_request_id)
             self.by_stream[stream] = None
-            request = self.host.dispatcher.submit(self.client, stream, parsed, received_ns)
+            request = self.host.dispatcher.submit(self.client, stream, parsed, times)
         except InvalidRequestError as error:
             self.host.dispatcher.log("client", f"invalid request: {error}")
             self.client.failed(stream, str(error))
--- a/query_broker/protocols/partial_frames.py
+++ b/query_broker/protocols/partial_frames.py
@@ -111,7 +111,9 @@
 
     def read_buffer(self, holder: FrameHolder) -> memoryview:
         """Return the buffer of the next read of a connection; all connections share it."""
-        if self._committed_bytes() <= self._wait_bytes() or holder in self._missing_bytes:
+        if not self.total_bytes or holder in self._missing_bytes:
+            return self._buffer
+        if self._committed_bytes() <= self._wait_bytes():
             return self._buffer
         return self._buffer[:MAX_CROWDED_CHUNK_BYTES]
 
--- a/query_broker/server/node.py
+++ b/query_broker/server/node.py
@@ -25,6 +25,7 @@
 from ..log import Log
 from ..protocols.client_connection import ClientConnection
 from ..protocols.partial_frames import PartialFrameMemory
+from ..protocols.read_queue import ReadQueue
 from ..timer_wheel import Clock
 from .admin_api import AdminApi
 from .client_admission import ClientAdmission
@@ -47,6 +48,7 @@
         dispatcher: Carries requests from the clients to the endpoints.
         admission: The client connections.
         partial_frames: The memory of client frames that are not complete yet.
+        read_queue: The client connections whose frames wait for their turn.
         server: The clients' server, once it listens.
         admin_api: The calls for operators.
         peer_processes: The other processes of this broker; None unless the clients' socket is
@@ -74,6 +76,7 @@
         self.dispatcher = self.make_dispatcher()
         self.admission = self.make_admission()
         self.partial_frames = PartialFrameMemory(self.dispatcher)
+        self.read_queue = ReadQueue(self.clock)
         self.server: asyncio.Server | None = None
         self.admin_api = AdminApi(self)
         self.peer_processes: PeerProcesses | None = None
