Withdraw a retry that has not arrived when the window of its key ends

What callers saw: a load with a key was applied twice.

Cause: the end of the window was checked before the first byte of an attempt only, but an attempt begins with its last byte, and a partly written one was written on.

Change: a timer at the end of the window withdraws a retry that is not written completely, and resets its connection if its last byte is not acknowledged. Only retries with a key whose window ends before their deadline have this timer.

Why it works: from the end of the window on, no byte of the retry can leave any more.

--- a/query_broker/decisions/dispatching.py
+++ b/query_broker/decisions/dispatching.py
@@ -132,7 +132,7 @@
 
 
 def _latest_start(request: Request) -> int:
-    """Return when the first byte of an attempt must have left.
+    """Return when an attempt must have arrived completely.
 
     For a retry with an idempotency key, this is when the endpoints forget the key.
     """
--- a/query_broker/decisions/orders.py
+++ b/query_broker/decisions/orders.py
@@ -17,8 +17,8 @@
         attempt: Number of the attempt among those of the request, from 0.
         endpoint: Number of the endpoint.
         timeout_ns: How long to wait for the answer.
-        latest_start_ns: When its first byte must have left. A later attempt must not be sent, and
-            is reported as not sent.
+        latest_start_ns: When it must have arrived completely. An attempt that has not been sent
+            completely by then is withdrawn, and reported as not sent.
     """
 
     request_id: str
--- a/query_broker/dispatch/attempt_dispatch.py
+++ b/query_broker/dispatch/attempt_dispatch.py
@@ -86,6 +86,10 @@
             attempt.deadline_ns - WITHDRAWAL_LEAD_TICKS * self._timer_wheel.tick_ns,
             partial(self._withdraw_before_deadline, attempt),
         )
+        if attempt.latest_start_ns < attempt.deadline_ns:
+            attempt.start_timer = self._timer_wheel.set_timer(
+                attempt.latest_start_ns, partial(self._withdraw_late_start, attempt)
+            )
         pool = self._context.pools.get(order.endpoint)
         if pool is not None:
             pool.send(attempt, now_ns)
@@ -131,6 +135,21 @@
             attempt.connection.withdraw(attempt)
         self._outcomes.end(attempt, AttemptResult.CONNECT_FAILED)
 
+    def _withdraw_late_start(self, attempt: Attempt) -> None:
+        """Withdraw an attempt that has not arrived at its endpoint when it may no longer begin.
+
+        For a retry with an idempotency key this is when endpoints forget the key. An attempt begins
+        with its last byte, so one that is partly written must not become complete later, nor one
+        whose last bytes the endpoint's system has not acknowledged.
+        """
+        if attempt.reported or attempt.stopped_by_broker:
+            return
+        connection = attempt.connection
+        if connection is None or self._outcomes.withdraw(attempt, connection):
+            self._outcomes.end(attempt, AttemptResult.NOT_SENT)
+        else:
+            connection.end_if_undelivered(attempt)
+
     def _time_out(self, attempt: Attempt) -> None:
         """End an attempt whose deadline has passed.
 
--- a/query_broker/dispatch/attempt_outcomes.py
+++ b/query_broker/dispatch/attempt_outcomes.py
@@ -55,8 +55,9 @@
         if attempt.reported:
             return
         attempt.reported = True
-        if attempt.timer is not None:
-            attempt.timer.cancel()
+        for timer in (attempt.timer, attempt.start_timer):
+            if timer is not None:
+                timer.cancel()
         request = attempt.request
         request.attempts.pop(attempt.number, None)
         if attempt.holds_retry_token and not attempt.write_started:
@@ -89,13 +90,15 @@
         self._timer_wheel.wake_next_tick()
 
     def withdraw(self, attempt: Attempt, connection: AttemptConnection) -> bool:
-        """Withdraw an attempt that nobody waits for; return False if it may run already."""
+        """Withdraw an attempt that must not begin; return False if it may run already."""
         was_partly_written = attempt.write_started
         if not connection.withdraw(attempt):
             return False
         statistics = self._controls.statistics
         if not was_partly_written:
-            statistics.stop_counts[HandOver.SOCKET, StopReason.CLIENT_LEFT] += 1
+            is_wanted = attempt.request.client is not None
+            reason = StopReason.DEADLINE_PASSED if is_wanted else StopReason.CLIENT_LEFT
+            statistics.stop_counts[HandOver.SOCKET, reason] += 1
             return True
         reason = StopReason.DEADLINE_PASSED
         if attempt.request.abandoned:
--- a/query_broker/dispatch/requests.py
+++ b/query_broker/dispatch/requests.py
@@ -151,8 +151,9 @@
         endpoint: Number of the endpoint.
         dispatched_ns: When the attempt was ordered.
         deadline_ns: When the broker stops waiting for the answer.
-        latest_start_ns: When the first byte must have been sent.
+        latest_start_ns: When the attempt must have begun, which is when its last byte arrives.
         timer: Ends the attempt when its time is up.
+        start_timer: Withdraws the attempt at ``latest_start_ns``, if that is before its deadline.
         connection: The connection that the attempt was assigned to; None while it waits for one.
         holds_retry_token: A token of the retry budget has been spent on the attempt.
         stopped_by_broker: The broker has stopped waiting for the attempt, for example after a
@@ -177,6 +178,7 @@
     deadline_ns: int
     latest_start_ns: int
     timer: Timer | None = None
+    start_timer: Timer | None = None
     connection: AttemptConnection | None = None
     holds_retry_token: bool = False
     stopped_by_broker: bool = False
