Keep clients that read their answers when unread answers fill the memory

Clients that don't read could cost one that reads its connection, if it is sent the most.

Evidence: the new test of tests/protocols/test_client_connections ends the client that reads on the code before, and passes. protocols, cells and server pass.

--- a/query_broker/cells/client_admission.py
+++ b/query_broker/cells/client_admission.py
@@ -5,7 +5,7 @@
 from ..overriding import override
 from ..protocols.client_connection import ClientConnection
 from ..protocols.partial_frames import FrameHolder
-from ..server.client_admission import ClientAdmission
+from ..server.client_admission import ClientAdmission, backlog_periods
 from ..server.host import NodeContext
 from .client_connection import CellClientConnection
 from .client_seat import UNASSIGNED
@@ -172,6 +172,7 @@
         readers: dict[str, list[CellClientConnection]] = {}
         for client in self.connections:
             assert isinstance(client, CellClientConnection)
+            client.socket.measure_backlog()
             if client.paused_since_ns and now_ns - client.paused_since_ns > timeout_ns:
                 self.drop_slow_reader(client)
             elif client.unread_bytes():
@@ -179,8 +180,8 @@
         return readers
 
     def _drop_slowest(self, clients: list[CellClientConnection], amount_bytes: int) -> None:
-        """Drop the clients with the most unread bytes until this amount is freed."""
-        for client in sorted(clients, key=ClientConnection.unread_bytes, reverse=True):
+        """Drop those that take the longest to read their answers until this amount is freed."""
+        for client in sorted(clients, key=backlog_periods, reverse=True):
             if amount_bytes <= 0:
                 break
             amount_bytes -= client.unread_bytes()
--- a/query_broker/protocols/client_socket.py
+++ b/query_broker/protocols/client_socket.py
@@ -20,6 +20,9 @@
         fd: Descriptor of the socket, or `NO_DESCRIPTOR`.
         output_ended: Whether this side has ended, so that nothing more is written.
         discarded_bytes: Bytes received since the connection is broken.
+        written_bytes: Bytes written since the connection was accepted.
+        backlog_periods: In how many sweeps the client would have read its answers, at the speed of
+            the time between the last two.
     """
 
     def __init__(self) -> None:
@@ -28,6 +31,9 @@
         self.fd = NO_DESCRIPTOR
         self.output_ended = False
         self.discarded_bytes = 0
+        self.written_bytes = 0
+        self.backlog_periods = 0.0
+        self._read_bytes_at_sweep = 0
 
     def attach(self, transport: asyncio.Transport) -> None:
         """Use the transport of a new connection."""
@@ -47,6 +53,7 @@
     def write(self, data: bytes) -> None:
         """Write a complete frame; the transport buffers what the system does not accept."""
         if self.transport is not None and not self.output_ended and not self.transport.is_closing():
+            self.written_bytes += len(data)
             self.transport.write(data)
 
     def end_output(self) -> bool:
@@ -61,6 +68,14 @@
         """Return how many bytes of answers wait for the client to read."""
         return 0 if self.transport is None else self.transport.get_write_buffer_size()
 
+    def measure_backlog(self) -> None:
+        """Compare the unread answers with those that the client has read since the last call."""
+        unread_bytes = self.unread_bytes()
+        read_bytes = self.written_bytes - unread_bytes
+        progress_bytes = read_bytes - self._read_bytes_at_sweep
+        self._read_bytes_at_sweep = read_bytes
+        self.backlog_periods = unread_bytes / max(1, progress_bytes)
+
     def set_reading(self, enabled: bool) -> None:
         """Resume or pause reading."""
         if self.transport is None:
--- a/query_broker/server/client_admission.py
+++ b/query_broker/server/client_admission.py
@@ -78,12 +78,15 @@
         """Extension point: close the connections of clients that do not read their answers.
 
         A connection is closed if its client has read nothing for the configured time. If all unread
-        answers exceed their memory limit, the connections with the most unread bytes are closed.
+        answers exceed their memory limit, those are closed that would take the longest to read
+        theirs. A client that reads is not closed for others that do not, however much it is sent.
         """
         dispatcher = self.node.dispatcher
         timeout_ns = dispatcher.deadline_controls.settings.slow_reader_timeout_ns
         unread_bytes = 0
-        for client in sorted(self.connections, key=ClientConnection.unread_bytes):
+        for client in self.connections:
+            client.socket.measure_backlog()
+        for client in sorted(self.connections, key=backlog_periods):
             unread_bytes += client.unread_bytes()
             is_stuck = client.paused_since_ns and now_ns - client.paused_since_ns > timeout_ns
             if unread_bytes > dispatcher.statement_capacity_bytes or is_stuck:
@@ -93,3 +96,8 @@
         """Drop the unread answers of a client and reset its connection."""
         self.node.log("client", "slow reader: dropped its unread answers and its connection")
         client.drop()
+
+
+def backlog_periods(client: ClientConnection) -> float:
+    """Return how long a client takes to read its answers; see `ClientSocket`."""
+    return client.socket.backlog_periods
--- a/tests/protocols/test_client_connections.py
+++ b/tests/protocols/test_client_connections.py
@@ -2,19 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
 import gc
 import weakref
 
 import pytest
 
 from query_broker.protocols import client_frames as frames
+from query_broker.protocols.client_connection import ClientConnection
 from query_broker.protocols.client_frames import MIN_RELEASED_BYTES
 
+from ..deadlines.deadline_brokers import shrink_buffers
 from ..support.sockets import MS, Engine, make_config, on_uvloop, running, until
 from .scripted_engines import broker_with_engines, engine_with_pages
 
 pytestmark = pytest.mark.real_time
 
+TEST_TIMEOUT_S = 15.0
+SMALL_BACKLOG_BYTES = 60_000
+LARGE_BACKLOG_BYTES = 200_000
+
 
 @on_uvloop
 async def test_a_slow_client_is_not_read_from_and_does_not_delay_other_clients() -> None:
@@ -38,6 +45,48 @@
         assert not any(connection.paused_since_ns for connection in broker.node.clients)
 
 
+@on_uvloop
+async def test_unread_answers_of_others_cost_a_client_that_reads_nothing() -> None:
+    # Guards against a sound client that is cut off since others leave the memory of answers full.
+    row = b"x" * 5_900 + b"\tb\tc\n"
+    async with (
+        asyncio.timeout(TEST_TIMEOUT_S),
+        broker_with_engines(engine_with_pages(*[row] * 8)) as broker,
+    ):
+        node = broker.node
+        clients = [await broker.client() for _ in range(4)]
+        for client in clients:
+            client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        await until(lambda: len(node.clients) == len(clients))
+        connections = {connection_port(connection): connection for connection in node.clients}
+        for connection in node.clients:
+            shrink_buffers(connection.transport)
+        sockets = [client.writer.get_extra_info("sockname")[1] for client in clients]
+        for stream in range(1, 200):
+            for client, port in zip(clients, sockets, strict=True):
+                limit_bytes = LARGE_BACKLOG_BYTES if client is clients[0] else SMALL_BACKLOG_BYTES
+                if connections[port].unread_bytes() < limit_bytes:
+                    client.send_request(stream, trace=f"{port:08x}{stream:08x}")
+                    await until(lambda: connections[port].requests.last_stream == stream)  # noqa: B023
+            await until(lambda: not node.dispatcher.requests)
+        sound = connections[sockets[0]]
+        node.admission.close_slow_readers(node.clock.now())
+        unread_bytes = sound.unread_bytes()
+        assert unread_bytes > max(connections[port].unread_bytes() for port in sockets[1:])
+        clients[0].writer.transport.resume_reading()  # type: ignore[attr-defined]
+        await until(lambda: sound.unread_bytes() < unread_bytes)
+        node.dispatcher.statement_capacity_bytes = sound.unread_bytes() + SMALL_BACKLOG_BYTES // 2
+        node.admission.close_slow_readers(node.clock.now())
+        await until(lambda: len(node.clients) == 1)
+        assert node.clients == {sound}
+
+
+def connection_port(connection: ClientConnection) -> int:
+    """Return the client's port."""
+    assert connection.transport is not None
+    return int(connection.transport.get_extra_info("peername")[1])
+
+
 @pytest.mark.parametrize(
     ("complete", "incomplete", "gets_error"),
     [
