Read on behind a single large frame that waits for its turn

Cause: with turns for large frames, a connection whose complete frame of over 64 kB waited was not read, so that attempts of its other open requests were stopped for that time.

Change: the read-ahead limit is the size of the next frame where that is larger. The checks for the end of a turn are one method; two names of partial_frames are the field's.

--- a/query_broker/protocols/client_reader.py
+++ b/query_broker/protocols/client_reader.py
@@ -19,7 +19,8 @@
 MAX_TURN_NS = 3_000_000
 # A frame from this size on always waits for its turn, since handling it takes long.
 LARGE_FRAME_BYTES = 4_096
-# Limit of the bytes that are read ahead, to find cancellations, while earlier frames wait.
+# Limit of the bytes that are read ahead, to find cancellations, while earlier frames wait; a single
+# frame may be larger.
 MAX_READ_AHEAD_BYTES = 64 * 1024
 # No connection reads ahead while incomplete frames use more than this share of their memory, which
 # is given as a divisor.
@@ -274,9 +275,7 @@
             if self.connection.paused_since_ns:
                 self.look_ahead()
                 return False
-            if not may_handle_large and self._has_large_frame():
-                return True
-            if handled_count and self._is_turn_over(end_ns):
+            if self._must_wait(may_handle_large, handled_count, end_ns):
                 return True
             frame = None if self.connection.broken else self.parser.next()
             if frame is None:
@@ -286,12 +285,15 @@
                 has_checked_peer = True
                 if self.end_if_peer_closed():
                     return False
-            self.received_ns = self.frame_started_ns
-            self.connection.has_sent_frame = True
-            self.frame_started_ns = self.connection.last_used_ns
             self._handle_frame(frame)
         return True
 
+    def _must_wait(self, may_handle_large: bool, handled_count: int, end_ns: int) -> bool:
+        """Return whether the next frame has to wait for another turn."""
+        if not may_handle_large and self._has_large_frame():
+            return True
+        return handled_count > 0 and self._is_turn_over(end_ns)
+
     def _is_turn_over(self, end_ns: int) -> bool:
         """Return whether the time of the turn is up while more frames are complete."""
         return self.host.dispatcher.now() >= end_ns and self.parser.next_frame_bytes() > 0
@@ -303,6 +305,9 @@
         return self.parser.next_frame_bytes() >= LARGE_FRAME_BYTES
 
     def _handle_frame(self, frame: frames.Frame) -> None:
+        self.received_ns = self.frame_started_ns
+        self.connection.has_sent_frame = True
+        self.frame_started_ns = self.connection.last_used_ns
         if frame.type == frames.REQUEST:
             self.requests.check_stream(frame.stream)
             if frame.stream not in self.lookahead.cancelled_streams:
@@ -344,7 +349,8 @@
     def _exceeds_read_ahead(self) -> bool:
         if not self.waiting and not self.connection.paused_since_ns:
             return False
-        if self.parser.buffered_bytes() > MAX_READ_AHEAD_BYTES:
+        limit_bytes = max(MAX_READ_AHEAD_BYTES, self.parser.next_frame_bytes())
+        if self.parser.buffered_bytes() > limit_bytes:
             return True
         return (
             self.host.partial_frames.total_bytes
--- a/query_broker/protocols/partial_frames.py
+++ b/query_broker/protocols/partial_frames.py
@@ -121,12 +121,12 @@
         """Return what has been received into the buffer, which the next read overwrites."""
         return self._buffer[:size_bytes]
 
-    def account(self, holder: FrameHolder, held_bytes: int) -> None:
+    def account(self, holder: FrameHolder, size_bytes: int) -> None:
         """Record how many bytes a connection holds now."""
-        growth_bytes = held_bytes - holder.partial_frame_bytes
+        growth_bytes = size_bytes - holder.partial_frame_bytes
         self.total_bytes += growth_bytes
-        holder.partial_frame_bytes = held_bytes
-        if held_bytes:
+        holder.partial_frame_bytes = size_bytes
+        if size_bytes:
             self._holders[holder] = None
             if holder in self._missing_bytes:
                 self._commit(holder, holder.missing_bytes())
@@ -193,12 +193,12 @@
         now_ns = self._limit.now()
         for holder in list(self._waiting_since_ns):
             holder.end_if_peer_closed()  # a connection that is not read does not notice its end
-        self._make_room(now_ns)
+        self._reclaim_for_waiting(now_ns)
         self._admit_waiting(now_ns)
         if self._waiting_since_ns:
             self._check_later(now_ns)
 
-    def _make_room(self, now_ns: int) -> None:
+    def _reclaim_for_waiting(self, now_ns: int) -> None:
         """End connections that have stalled, as far as the frames that wait need their memory.
 
         For frames that have waited for too long, a shorter stall is enough.
