Reserve memory for each incomplete frame anew, also behind a complete one

Cause: memory is reserved for a frame when its first part comes. A next frame that began in the chunk that completed the one before kept that reservation without a check, so that frames behind complete ones could pass the limit and others were cut off for it.

Change: the reservation ends with its frame, and the part of the next one is checked after every turn. A connection with a reservation reads no more than its frame needs where memory is short. An error in a turn does not keep the other connections of the queue waiting.

--- a/query_broker/protocols/client_reader.py
+++ b/query_broker/protocols/client_reader.py
@@ -83,6 +83,7 @@
         partial_frame_bytes: Received bytes of frames that have not been handled yet; part of the
             host's sum.
         last_progress_ns: When the current frame last grew by `MIN_PROGRESS_BYTES`.
+        has_frame_memory: Whether memory is reserved for the rest of the current frame.
         waits_for_memory: Whether reading is paused until there is memory for the current frame.
     """
 
@@ -115,6 +116,7 @@
         self.last_received_ns = connection.last_used_ns
         self.partial_frame_bytes = 0
         self.last_progress_ns = connection.last_used_ns
+        self.has_frame_memory = False
         self.waits_for_memory = False
         self._progress_mark_bytes = 0  # size of the frame at `last_progress_ns`
         self.waiting = False
@@ -130,6 +132,10 @@
             self.look_ahead()
         else:
             self.read_turn()
+        self._restrict_partial_frame()
+
+    def _restrict_partial_frame(self) -> None:
+        """Account for the bytes in the parser, and wait if there is no memory for the frame."""
         self.account_partial_frames()
         if self.partial_frame_bytes:
             self.host.partial_frames.restrict(self)
@@ -239,14 +245,14 @@
         """Run the next turn."""
         self.read_turn(may_handle_large=True)
         self.pause_or_resume_reading()
-        self.account_partial_frames()
+        self._restrict_partial_frame()
 
     def resume_writing(self) -> None:
         """Handle frames again, after the client has read its answers."""
         if not self.waiting:
             self.read_turn()
         self.pause_or_resume_reading()
-        self.account_partial_frames()
+        self._restrict_partial_frame()
 
     def _run_turn(self, may_handle_large: bool) -> None:
         self.waiting = False
@@ -305,6 +311,8 @@
         return self.parser.next_frame_bytes() >= LARGE_FRAME_BYTES
 
     def _handle_frame(self, frame: frames.Frame) -> None:
+        if self.has_frame_memory:
+            self.host.partial_frames.end_frame(self)
         self.received_ns = self.frame_started_ns
         self.connection.has_sent_frame = True
         self.frame_started_ns = self.connection.last_used_ns
--- a/query_broker/protocols/partial_frames.py
+++ b/query_broker/protocols/partial_frames.py
@@ -51,8 +51,10 @@
     Attributes:
         partial_frame_bytes: The bytes that it holds.
         last_progress_ns: When it last received `MIN_PROGRESS_BYTES` of its current frame.
+        has_frame_memory: Whether memory is reserved for the rest of its current frame.
     """
 
+    has_frame_memory: bool
     partial_frame_bytes: int
     last_progress_ns: int
 
@@ -95,6 +97,7 @@
 
     Attributes:
         total_bytes: The bytes of incomplete frames on all connections.
+        outstanding_bytes: The bytes that the frames which are read on still need.
     """
 
     def __init__(self, limit: FrameMemoryLimit) -> None:
@@ -103,7 +106,7 @@
         self._limit = limit
         self._holders: dict[FrameHolder, None] = {}
         self._missing_bytes: dict[FrameHolder, int] = {}  # of the frames that are read on
-        self._outstanding_bytes = 0  # the sum of these
+        self.outstanding_bytes = 0
         self._waiting_since_ns: dict[FrameHolder, int] = {}
         self._buffer = memoryview(bytearray(MAX_CHUNK_BYTES))
         self._timer: Timer | None = None
@@ -111,11 +114,10 @@
 
     def read_buffer(self, holder: FrameHolder) -> memoryview:
         """Return the buffer of the next read of a connection; all connections share it."""
-        if not self.total_bytes or holder in self._missing_bytes:
+        if not self.total_bytes or self._committed_bytes() <= self._wait_bytes():
             return self._buffer
-        if self._committed_bytes() <= self._wait_bytes():
-            return self._buffer
-        return self._buffer[:MAX_CROWDED_CHUNK_BYTES]
+        missing_bytes = self._missing_bytes.get(holder, 0)
+        return self._buffer[: max(missing_bytes, MAX_CROWDED_CHUNK_BYTES)]
 
     def received_bytes(self, size_bytes: int) -> memoryview:
         """Return what has been received into the buffer, which the next read overwrites."""
@@ -128,15 +130,23 @@
         holder.partial_frame_bytes = size_bytes
         if size_bytes:
             self._holders[holder] = None
-            if holder in self._missing_bytes:
-                self._commit(holder, holder.missing_bytes())
         else:
             self._holders.pop(holder, None)
             self._waiting_since_ns.pop(holder, None)
-            self._outstanding_bytes -= self._missing_bytes.pop(holder, 0)
+            self.end_frame(holder)
+        if holder in self._missing_bytes:
+            self._commit(holder, holder.missing_bytes())
         if growth_bytes < 0 and self._waiting_since_ns:
             self._admit_waiting(self._limit.now())
 
+    def end_frame(self, holder: FrameHolder) -> None:
+        """Release what is reserved for the current frame: it is complete, or its connection ends.
+
+        The next frame of the connection has no memory yet.
+        """
+        self.outstanding_bytes -= self._missing_bytes.pop(holder, 0)
+        holder.has_frame_memory = False
+
     def restrict(self, holder: FrameHolder) -> None:
         """Keep the memory within its limit after a connection has received a part of a frame.
 
@@ -167,15 +177,16 @@
         return self._limit.statement_capacity_bytes * WAIT_NUMERATOR // WAIT_DENOMINATOR
 
     def _committed_bytes(self) -> int:
-        return self.total_bytes + self._outstanding_bytes
+        return self.total_bytes + self.outstanding_bytes
 
     def _fits(self, missing_bytes: int) -> bool:
         return self._committed_bytes() + missing_bytes <= self._wait_bytes()
 
     def _commit(self, holder: FrameHolder, missing_bytes: int) -> None:
         """Reserve memory for the rest of a frame that is read on."""
-        self._outstanding_bytes += missing_bytes - self._missing_bytes.get(holder, 0)
+        self.outstanding_bytes += missing_bytes - self._missing_bytes.get(holder, 0)
         self._missing_bytes[holder] = missing_bytes
+        holder.has_frame_memory = True
 
     def _wait(self, holder: FrameHolder, now_ns: int) -> None:
         self._waiting_since_ns.setdefault(holder, now_ns)
--- a/query_broker/protocols/read_queue.py
+++ b/query_broker/protocols/read_queue.py
@@ -51,10 +51,12 @@
         """Give turns until the time is up; one at least, and at most one to each connection."""
         self._is_scheduled = False
         end_ns = self._clock.now() + MAX_ROUND_NS
-        for reader in list(self._waiting):
-            del self._waiting[reader]
-            reader.resume()
-            if self._clock.now() >= end_ns:
-                break
-        if self._waiting:
-            self._schedule()
+        try:
+            for reader in list(self._waiting):
+                del self._waiting[reader]
+                reader.resume()
+                if self._clock.now() >= end_ns:
+                    break
+        finally:
+            if self._waiting:
+                self._schedule()
--- a/tests/protocols/test_frame_memory.py
+++ b/tests/protocols/test_frame_memory.py
@@ -225,3 +225,25 @@
             assert await answer_code(client) == (stream, frames.SERVED)
             if stream == 3:
                 break
+
+
+@on_uvloop
+async def test_the_beginning_of_a_next_frame_needs_memory_of_its_own(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against frames behind complete ones that pass the limit, so that others are cut off.
+    for name in ("STALL_TIMEOUT_NS", "SHORT_STALL_TIMEOUT_NS"):
+        monkeypatch.setattr(f"query_broker.protocols.partial_frames.{name}", LONG_STALL_NS)
+    async with asyncio.timeout(TEST_TIMEOUT_S), crowded_broker(600_000) as broker:
+        clients = [await broker.client() for _ in range(12)]
+        ready = frames.frame(frames.ASK_READY, 1, b"\0")
+        for client in clients:
+            client.writer.write(ready[:5])
+        await until(lambda: broker.node.partial_frame_bytes == 5 * len(clients))
+        for client in clients:
+            client.writer.write(ready[5:] + half_frame(261_000))
+        for client in clients:
+            assert (await client.frame())[0] == frames.READY
+        memory = broker.node.partial_frames
+        assert memory.total_bytes + memory.outstanding_bytes <= 600_000
+        assert not any(client.broken for client in broker.node.clients)
