Reserve memory for an incomplete frame once its length is known

Cause: a frame of which a part of the length had come was given memory for the rest of the length, and went on unchecked for the rest of the frame. Clients that begin with two or three bytes could pass the limit together, and others were cut off for it.

Change: memory is reserved once the length has been received.

--- a/query_broker/protocols/client_frames.py
+++ b/query_broker/protocols/client_frames.py
@@ -210,13 +210,13 @@
         return size_bytes if is_valid and available >= size_bytes else 0
 
     def missing_bytes(self) -> int:
-        """Return how many bytes the next frame still needs; 0 if it is complete or malformed.
+        """Return how many bytes the next frame still needs, once its length has been received.
 
-        Until its length has been received, only the missing part of the length is counted.
+        Returns 0 before that, and if the frame is complete or malformed.
         """
         available = self.buffered_bytes()
         if available < LENGTH_FIELD_BYTES:
-            return LENGTH_FIELD_BYTES - available
+            return 0
         begin = self.read_position
         length = int.from_bytes(self.buffer[begin : begin + LENGTH_FIELD_BYTES], "big")
         return max(0, min(length, MAX_FRAME_LENGTH) + LENGTH_FIELD_BYTES - available)
--- a/query_broker/protocols/client_reader.py
+++ b/query_broker/protocols/client_reader.py
@@ -182,7 +182,7 @@
         return self.partial_frame_bytes > 0
 
     def missing_bytes(self) -> int:
-        """Return how many bytes the incomplete frame still needs."""
+        """Return how many bytes the incomplete frame still needs; 0 until that is known."""
         return self.parser.missing_bytes()
 
     def has_unread_input(self) -> bool:
--- a/query_broker/protocols/partial_frames.py
+++ b/query_broker/protocols/partial_frames.py
@@ -62,7 +62,7 @@
         """Return whether all that it holds is the beginning of one incomplete frame."""
 
     def missing_bytes(self) -> int:
-        """Return how many bytes its frame still needs."""
+        """Return how many bytes its frame still needs; 0 until that is known."""
 
     def has_unread_input(self) -> bool:
         """Return whether more bytes of it lie in the system's buffer."""
@@ -81,13 +81,15 @@
 
 
 class ReclaimOrder(NamedTuple):
-    """Sorts the connections that give way; the smallest ends first."""
+    """Sorts the connections that give way; the smallest ends first.
+
+    ``negative_cost`` is the negative size of the frame, times the time without progress if there is
+    no unread input.
+    """
 
     has_unread_input: bool
     has_open_requests: bool
-    negative_cost: (
-        int  # the frame's size; times the time without progress, if there is no unread input
-    )
+    negative_cost: int
 
 
 class PartialFrameMemory:
@@ -153,9 +155,10 @@
         If the frame does not fit, connections that have stalled end. If that is not enough, this
         connection waits.
         """
-        if holder.is_inside_frame() and holder not in self._missing_bytes:
+        missing_bytes = holder.missing_bytes()
+        is_new = missing_bytes and holder not in self._missing_bytes
+        if is_new and holder.is_inside_frame():
             now_ns = self._limit.now()
-            missing_bytes = holder.missing_bytes()
             if not self._fits(missing_bytes):
                 self._end_stalled(missing_bytes, now_ns)
             if self._fits(missing_bytes):
--- a/tests/protocols/test_frame_memory.py
+++ b/tests/protocols/test_frame_memory.py
@@ -227,9 +227,10 @@
                 break
 
 
+@pytest.mark.parametrize("first_bytes", [2, 5])
 @on_uvloop
 async def test_the_beginning_of_a_next_frame_needs_memory_of_its_own(
-    monkeypatch: pytest.MonkeyPatch,
+    first_bytes: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # Guards against frames behind complete ones that pass the limit, so that others are cut off.
     for name in ("STALL_TIMEOUT_NS", "SHORT_STALL_TIMEOUT_NS"):
@@ -238,12 +239,32 @@
         clients = [await broker.client() for _ in range(12)]
         ready = frames.frame(frames.ASK_READY, 1, b"\0")
         for client in clients:
-            client.writer.write(ready[:5])
-        await until(lambda: broker.node.partial_frame_bytes == 5 * len(clients))
+            client.writer.write(ready[:first_bytes])
+        await until(lambda: broker.node.partial_frame_bytes == first_bytes * len(clients))
         for client in clients:
-            client.writer.write(ready[5:] + half_frame(261_000))
+            client.writer.write(ready[first_bytes:] + half_frame(261_000))
         for client in clients:
             assert (await client.frame())[0] == frames.READY
         memory = broker.node.partial_frames
         assert memory.total_bytes + memory.outstanding_bytes <= 600_000
         assert not any(client.broken for client in broker.node.clients)
+
+
+@on_uvloop
+async def test_a_frame_needs_memory_from_when_its_length_is_known(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against frames that begin with a part of their length and pass the limit.
+    for name in ("STALL_TIMEOUT_NS", "SHORT_STALL_TIMEOUT_NS"):
+        monkeypatch.setattr(f"query_broker.protocols.partial_frames.{name}", LONG_STALL_NS)
+    async with asyncio.timeout(TEST_TIMEOUT_S), crowded_broker(600_000) as broker:
+        memory = broker.node.partial_frames
+        clients = [await broker.client() for _ in range(12)]
+        for client in clients:
+            client.writer.write(half_frame(3))
+        await until(lambda: memory.total_bytes == 3 * len(clients))
+        for client in clients:
+            client.writer.write(half_frame(261_000)[3:])
+        await until(lambda: memory.total_bytes > 300_000)
+        assert memory.total_bytes + memory.outstanding_bytes <= 600_000
+        assert not any(client.broken for client in broker.node.clients)
